--- /dev/null
+++ b/src/program/app.cpp
@@ -0,0 +1,119 @@
+#include "app.h"
+
+#include <algorithm>
+
+namespace oatledge::program {
+namespace {
+
+using stagehinge::Duration;
+using stagehinge::ListKind;
+
+constexpr Duration kStillComing{500};  // new connections may come for this long after SIGTERM
+constexpr Duration kDrainStep{20};
+constexpr Duration kLongestCounted{
+    3000};  // SIGKILL follows SIGTERM after the longest deadline, counted at most so
+constexpr Duration kBeforeKill{400};  // what is open then is answered this long after that deadline, to be
+                                      // done before SIGKILL, which comes 700 ms after it
+constexpr Duration kFarewell{200};    // then, for the last bytes to be taken
+
+HttpInstances::Times instance_times(const Config& c) {
+  HttpInstances::Times t;
+  if (c.settings.connect_timeout) t.connect = *c.settings.connect_timeout;
+  t.probe = std::max(Duration(100), 2 * t.connect);
+  if (c.conn_idle.count() > 0) t.idle = c.conn_idle * 0.5;
+  t.reports = c.settings.reports != stagehinge::ReportMode::Off;
+  return t;
+}
+
+HttpNames::Options name_options(const Config& c) {
+  HttpNames::Options o;
+  o.address = c.discovery;
+  // A silent discovery is noticed when a wait is over; the settings say how long not to hear from it is too
+  // long.
+  if (c.settings.must_ask_in.count() > 0)
+    o.wait = std::clamp(c.settings.must_ask_in, Duration(1000), Duration(60'000));
+  o.retries = !c.settings.must_subscribe;
+  return o;
+}
+
+std::vector<stagehinge::WorkerEntry> entries_of(const protocol::NameList& list) {
+  std::vector<stagehinge::WorkerEntry> entries;
+  for (const protocol::Listed& l : list.entries) {
+    entries.push_back(l.entry);
+    entries.back().worker = l.uid;
+  }
+  return entries;
+}
+
+}  // namespace
+
+// Clients get the larger part, yet never what instances and discovery need; of the commands fewer than of the
+// connections, so that call-backs always find one.
+Shares share_descriptors(const Config& c) {
+  Shares s{c.sockets * 5 / 8, c.sockets / 4, c.sockets / 2};
+  if (c.most_open > 0) s.commands = std::min(s.commands, c.most_open);
+  return s;
+}
+
+App::App(const Config& config, transport::Network& network, transport::Deadlines& deadlines,
+         const transport::Clock& clock, Log& log)
+    : config_(config),
+      deadlines_(deadlines),
+      clock_(clock),
+      log_(log),
+      front_(network, deadlines, clock, config.words, log),
+      instances_(network, deadlines, clock, config.words, instance_times(config), log),
+      names_(network, deadlines, clock, config.words, name_options(config), log),
+      router_(config.settings, share_descriptors(config).commands, clock, deadlines,
+              {front_, instances_, names_}, [&log](const std::string& text) { log.line("module", text); }) {
+  front_.attach(router_);
+  instances_.attach(router_);
+  names_.attach([this](ListKind kind, const protocol::NameList& list) { names_changed(kind, list); });
+}
+
+void App::start() {
+  protocol::NameList known = config_.known.value_or(protocol::NameList{0, true, {}});
+  instances_.update(known);
+  router_.start(entries_of(known));
+  if (!known.entries.empty()) front_.set_ready();
+  if (!config_.settings.must_subscribe) names_.watch();
+  log_.line("start", config_.name + " listens on " + config_.listen + ", knows " +
+                         std::to_string(known.entries.size()) + " instances");
+}
+
+void App::names_changed(ListKind kind, const protocol::NameList& list) {
+  if (kind != ListKind::Error) {
+    instances_.update(list);
+    front_.set_ready();
+  }
+  router_.names_changed(kind, entries_of(list));
+}
+
+void App::terminate() {
+  if (terminated_) return;
+  terminated_ = clock_.now();
+  log_.line("stop", "asked to end; " + std::to_string(router_.open_commands()) + " commands are open");
+  front_.start_draining();
+  drain();
+}
+
+// Goes on serving until nothing is open and no new connection can be on its way; then, or shortly before
+// SIGKILL would come, closes what is left and ends.
+void App::drain() {
+  Duration longest{0};
+  for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline);
+  Duration since = clock_.now() - *terminated_;
+  bool last_call = since >= std::min(longest, kLongestCounted) + kBeforeKill;
+  if (last_call && router_.open_commands() > 0) {
+    log_.line("stop", std::to_string(router_.open_commands()) + " commands fail: the time to end is over");
+    router_.fail_all();
+  }
+  if (since >= kStillComing) front_.close_idle();
+  if (last_call || (since >= kStillComing && router_.open_commands() == 0 && front_.empty())) {
+    deadlines_.add(clock_.now() + kFarewell, [this] { finished_ = true; });
+    return;
+  }
+  deadlines_.add(clock_.now() + kDrainStep, [this] { drain(); });
+}
+
+}  // namespace oatledge::program
--- /dev/null
+++ b/src/program/app.h
@@ -0,0 +1,40 @@
+// The wiring: one program out of the layers, over whatever network and clock it is given.
+#pragma once
+
+#include "config.h"
+#include "http_names.h"
+
+namespace oatledge::program {
+
+struct Shares {  // of the descriptors
+  std::size_t accepted, connected, commands;
+};
+Shares share_descriptors(const Config& config);
+
+class App {
+ public:
+  App(const Config& config, transport::Network& network, transport::Deadlines& deadlines,
+      const transport::Clock& clock, Log& log);
+
+  transport::Acceptor& acceptor() { return front_; }
+  void start();
+  void terminate();                            // SIGTERM
+  bool finished() const { return finished_; }  // after terminate(): all that was taken is answered
+
+ private:
+  void names_changed(stagehinge::ListKind kind, const protocol::NameList& list);
+  void drain();
+
+  const Config& config_;
+  transport::Deadlines& deadlines_;
+  const transport::Clock& clock_;
+  Log& log_;
+  HttpFront front_;
+  HttpInstances instances_;
+  HttpNames names_;
+  routing::Router router_;
+  std::optional<transport::Time> terminated_;
+  bool finished_ = false;
+};
+
+}  // namespace oatledge::program
--- /dev/null
+++ b/src/program/config.h
@@ -0,0 +1,27 @@
+// The configuration of ROUTER_CONFIG and the environment, checked.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "../protocol/messages.h"
+
+namespace oatledge::program {
+
+struct Config {
+  std::string name, listen, discovery;
+  std::size_t sockets = 1024;
+  std::size_t most_open = 0;  // commands; 0: the settings name no limit
+  stagehinge::Duration conn_idle{0};
+  stagehinge::Settings settings;
+  protocol::Vocabulary words;
+  std::optional<protocol::NameList> known;
+};
+
+using Lookup = std::function<std::string(const char* variable)>;  // empty when unset
+
+// Throws std::runtime_error with one line that names what is wrong.
+Config read_config(std::string_view json, const Lookup& environment, stagehinge::Duration wall_to_steady);
+
+}  // namespace oatledge::program
--- /dev/null
+++ b/src/program/http_instances.cpp
@@ -0,0 +1,223 @@
+#include "http_instances.h"
+
+#include <algorithm>
+
+namespace oatledge::program {
+
+using protocol::Message;
+using routing::AttemptRef;
+using stagehinge::Outcome;
+using transport::SlotRef;
+
+namespace {
+
+constexpr std::size_t kMostIdle = 32;  // pooled connections an instance
+
+}  // namespace
+
+void HttpInstances::update(const protocol::NameList& list) {
+  if (list.whole)
+    for (auto& [uid, i] : instances_) i.gone = true;
+  for (const protocol::Listed& l : list.entries) {
+    Instance& i = instances_[l.uid];
+    i.gone = l.entry.readiness == stagehinge::Readiness::Gone;
+    if (!l.address.empty() && l.address != i.address) {
+      close_pool(i);
+      i.address = l.address;
+    }
+  }
+  for (auto it = instances_.begin(); it != instances_.end();) {
+    if (it->second.gone) close_pool(it->second);
+    it = it->second.gone && it->second.attempts == 0 ? instances_.erase(it) : std::next(it);
+  }
+}
+
+void HttpInstances::submit(AttemptRef attempt, const std::string& instance,
+                           std::shared_ptr<const routing::Cargo> cargo, stagehinge::Duration time_left) {
+  auto it = instances_.find(instance);
+  if (it == instances_.end()) return router_->attempt_ended(attempt, Outcome::Unreachable, {});
+  const auto& command = static_cast<const HttpCargo&>(*cargo).command;
+  ++it->second.attempts;
+  active_[attempt] = {instance, command.id, std::nullopt};
+  Call c;
+  c.kind = Kind::Submit, c.instance = instance, c.attempt = attempt;
+  if (call(std::move(c), protocol::write_submit(command, it->second.address, time_left))) return;
+  release(attempt);
+  router_->attempt_ended(attempt, Outcome::Unreachable, {});
+}
+
+void HttpInstances::probe(const std::string& instance) {
+  auto it = instances_.find(instance);
+  Call c;
+  c.kind = Kind::Probe, c.instance = instance;
+  if (it == instances_.end() ||
+      !call(std::move(c), protocol::write_probe(times_.reports, it->second.address)))
+    router_->probe_ended(instance, Outcome::Unreachable, {});
+}
+
+// Before the 202 closing the connection gives the attempt up; after it a call of its own does.
+void HttpInstances::withdraw(AttemptRef attempt) {
+  std::optional<Active> a = release(attempt);
+  if (!a) return;
+  if (a->connection) {
+    drop_call(*a->connection);
+    network_.close(*a->connection);
+    return;
+  }
+  auto it = instances_.find(a->instance);
+  if (it == instances_.end()) return;
+  Call c;
+  c.kind = Kind::Withdraw, c.instance = a->instance;
+  call(std::move(c), protocol::write_withdraw(a->id, it->second.address));
+}
+
+void HttpInstances::settled(AttemptRef attempt) {
+  std::optional<Active> a = release(attempt);
+  // A call-back can overtake the 202: the call goes on without its attempt, so that the connection is kept.
+  if (a && a->connection) calls_.at(*a->connection).attempt.reset();
+}
+
+std::optional<HttpInstances::Active> HttpInstances::release(AttemptRef attempt) {
+  auto it = active_.find(attempt);
+  if (it == active_.end()) return std::nullopt;
+  Active a = std::move(it->second);
+  active_.erase(it);
+  if (auto i = instances_.find(a.instance); i != instances_.end()) --i->second.attempts;
+  return a;
+}
+
+bool HttpInstances::call(Call c, const std::string& bytes) {
+  Instance& i = instances_.at(c.instance);
+  std::optional<SlotRef> at;
+  bool fresh = i.idle.empty();
+  if (fresh) {
+    at = network_.connect(i.address, *this, transport::Urgency::Normal);
+    if (!at) {
+      log_.line("instance", c.instance + ": no connection to be had to " + i.address);
+      return false;
+    }
+    c.connect =
+        deadlines_.add(clock_.now() + times_.connect, [this, r = *at] { end(r, Outcome::Unreachable); });
+  } else {
+    at = i.idle.back().connection;
+    take_from_pool(*at);
+  }
+  // An attempt waits as long as the module lets it; the other calls are ours to end.
+  if (c.kind != Kind::Submit)
+    c.answer = deadlines_.add(clock_.now() + times_.probe, [this, r = *at] { end(r, Outcome::TimedOut); });
+  if (c.attempt) active_.at(*c.attempt).connection = at;
+  calls_.emplace(*at, std::move(c));
+  network_.send(*at, bytes);
+  return true;
+}
+
+void HttpInstances::on_connected(SlotRef at) {
+  if (auto it = calls_.find(at); it != calls_.end()) deadlines_.drop(it->second.connect);
+}
+
+void HttpInstances::on_bytes(SlotRef at, std::string_view bytes) {
+  auto it = calls_.find(at);
+  if (it == calls_.end()) {  // nothing was asked: whatever this answers, it is not our next call
+    take_from_pool(at);
+    network_.close(at);
+    return;
+  }
+  it->second.parser.feed(bytes);
+  try {
+    while (std::optional<Message> m = it->second.parser.next())
+      if (m->status / 100 != 1) return on_message(at, *m);
+  } catch (const protocol::HttpError& e) {
+    log_.line("instance", it->second.instance + ": malformed answer: " + e.what());
+    end(at, Outcome::Failure);
+  }
+}
+
+void HttpInstances::on_message(SlotRef at, const Message& m) {
+  Call c = std::move(calls_.at(at));
+  drop_call(at);
+  keep_or_close(at, c.instance, m.keep_alive && c.parser.idle());
+  if (c.kind == Kind::Probe) {
+    auto answer = protocol::read_probe_answer(m, words_);
+    return router_->probe_ended(c.instance, *answer.end, answer.report);
+  }
+  if (!c.attempt) return;
+  auto answer = protocol::read_submit_answer(m, words_);
+  if (!answer.end) {
+    active_.at(*c.attempt).connection.reset();  // taken: its call-backs tell the rest
+    return;
+  }
+  release(*c.attempt);
+  router_->attempt_ended(*c.attempt, *answer.end, answer.report);
+}
+
+// A break before the last byte went out proves that the job never began; after it nothing does.
+void HttpInstances::on_closed(SlotRef at, bool all_written) {
+  auto it = calls_.find(at);
+  if (it == calls_.end()) return take_from_pool(at);
+  std::optional<Message> last = it->second.parser.at_end();
+  if (last) return on_message(at, *last);
+  Call c = std::move(it->second);
+  drop_call(at);
+  report_end(c, all_written ? Outcome::Broken : Outcome::Unreachable, {});
+}
+
+void HttpInstances::end(SlotRef at, Outcome outcome) {
+  auto it = calls_.find(at);
+  if (it == calls_.end()) return;
+  Call c = std::move(it->second);
+  drop_call(at);
+  network_.close(at);
+  report_end(c, outcome, {});
+}
+
+void HttpInstances::report_end(const Call& c, Outcome outcome, const stagehinge::LoadReport& report) {
+  if (c.kind == Kind::Probe) return router_->probe_ended(c.instance, outcome, report);
+  if (!c.attempt) return;
+  release(*c.attempt);
+  router_->attempt_ended(*c.attempt, outcome, report);
+}
+
+void HttpInstances::drop_call(SlotRef at) {
+  auto it = calls_.find(at);
+  if (it == calls_.end()) return;
+  deadlines_.drop(it->second.connect);
+  deadlines_.drop(it->second.answer);
+  calls_.erase(it);
+}
+
+// Retired well before the instance's machine would close it: a call written to a closed connection ends as
+// broken, and a job that must not run twice is then lost.
+void HttpInstances::keep_or_close(SlotRef at, const std::string& instance, bool keep) {
+  auto it = instances_.find(instance);
+  if (!keep || it == instances_.end() || it->second.gone || it->second.idle.size() >= kMostIdle) {
+    network_.close(at);
+    return;
+  }
+  auto retire = deadlines_.add(clock_.now() + times_.idle, [this, at] {
+    take_from_pool(at);
+    network_.close(at);
+  });
+  it->second.idle.push_back({at, retire});
+  pooled_[at] = instance;
+}
+
+void HttpInstances::take_from_pool(SlotRef at) {
+  auto it = pooled_.find(at);
+  if (it == pooled_.end()) return;
+  auto& idle = instances_.at(it->second).idle;
+  auto found = std::ranges::find(idle, at, &Idle::connection);
+  deadlines_.drop(found->retire);
+  idle.erase(found);
+  pooled_.erase(it);
+}
+
+void HttpInstances::close_pool(Instance& i) {
+  for (Idle& idle : i.idle) {
+    deadlines_.drop(idle.retire);
+    pooled_.erase(idle.connection);
+    network_.close(idle.connection);
+  }
+  i.idle.clear();
+}
+
+}  // namespace oatledge::program
--- /dev/null
+++ b/src/program/http_instances.h
@@ -0,0 +1,84 @@
+// The instance side over HTTP: attempts, withdrawals and probes on pooled connections, one call at a time on
+// each.
+#pragma once
+
+#include <map>
+#include <unordered_map>
+
+#include "http_front.h"
+
+namespace oatledge::program {
+
+class HttpInstances final : public transport::ConnectionHandler, public routing::InstanceSide {
+ public:
+  struct Times {
+    transport::Duration connect{1000};  // to come up
+    transport::Duration idle{2000};     // a pooled connection is used no longer than this after its last call
+    transport::Duration probe{2000};
+    bool reports = false;  // probes ask for the load
+  };
+  HttpInstances(transport::Network& network, transport::Deadlines& deadlines, const transport::Clock& clock,
+                const protocol::Vocabulary& words, Times times, Log& log)
+      : network_(network), deadlines_(deadlines), clock_(clock), words_(words), times_(times), log_(log) {}
+
+  void attach(routing::Router& router) { router_ = &router; }
+  void update(const protocol::NameList& list);  // where the instances are; before the module hears of them
+
+  void submit(routing::AttemptRef attempt, const std::string& instance,
+              std::shared_ptr<const routing::Cargo> cargo, stagehinge::Duration time_left) override;
+  void withdraw(routing::AttemptRef attempt) override;
+  void settled(routing::AttemptRef attempt) override;
+  void probe(const std::string& instance) override;
+
+  void on_connected(transport::SlotRef connection) override;
+  void on_bytes(transport::SlotRef connection, std::string_view bytes) override;
+  void on_closed(transport::SlotRef connection, bool all_written) override;
+
+ private:
+  struct Idle {
+    transport::SlotRef connection;
+    transport::Deadlines::Handle retire;
+  };
+  struct Instance {
+    std::string address;
+    bool gone = false;
+    std::size_t attempts = 0;  // active ones: they may still have to be withdrawn there
+    std::vector<Idle> idle;    // the latest used last
+  };
+  enum class Kind { Submit, Withdraw, Probe };
+  struct Call {
+    Kind kind = Kind::Submit;
+    std::string instance;
+    std::optional<routing::AttemptRef> attempt;  // of a submit that has neither been taken nor ended
+    protocol::Parser parser{protocol::Parser::Kind::Response};
+    transport::Deadlines::Handle connect, answer;
+  };
+  struct Active {  // an attempt that has not ended
+    std::string instance, id;
+    std::optional<transport::SlotRef> connection;  // until the instance has taken it
+  };
+
+  bool call(Call call, const std::string& bytes);  // false: no connection is to be had
+  void on_message(transport::SlotRef connection, const protocol::Message& message);
+  void end(transport::SlotRef connection, stagehinge::Outcome outcome);  // the call came to nothing
+  void report_end(const Call& call, stagehinge::Outcome outcome, const stagehinge::LoadReport& report);
+  void drop_call(transport::SlotRef connection);
+  void keep_or_close(transport::SlotRef connection, const std::string& instance, bool keep);
+  void take_from_pool(transport::SlotRef connection);
+  void close_pool(Instance& instance);
+  std::optional<Active> release(routing::AttemptRef attempt);
+
+  transport::Network& network_;
+  transport::Deadlines& deadlines_;
+  const transport::Clock& clock_;
+  const protocol::Vocabulary& words_;
+  Times times_;
+  Log& log_;
+  routing::Router* router_ = nullptr;
+  std::unordered_map<std::string, Instance> instances_;
+  std::map<transport::SlotRef, Call> calls_;
+  std::map<transport::SlotRef, std::string> pooled_;  // idle connections and whose they are
+  std::map<routing::AttemptRef, Active> active_;
+};
+
+}  // namespace oatledge::program
--- /dev/null
+++ b/src/program/http_names.cpp
@@ -0,0 +1,87 @@
+#include "http_names.h"
+
+namespace oatledge::program {
+namespace {
+
+constexpr transport::Duration kGrace{1500};  // past the wait; discovery's word counts as told 2 s past it
+constexpr transport::Duration kWhole{4000};  // for the whole list, which does not wait
+constexpr transport::Duration kAgain{500};
+constexpr std::size_t kMostList = 4 << 20;
+
+}  // namespace
+
+// The first call asks for the whole list: its answer comes at once and tells that the watch stands. The next
+// calls wait for changes after it.
+void HttpNames::watch() {
+  if (asking_) return;
+  revision_.reset();
+  ask();
+}
+
+void HttpNames::ask() {
+  if (!connection_) {
+    connection_ = network_.connect(options_.address, *this, transport::Urgency::High);
+    parser_ = protocol::Parser(protocol::Parser::Kind::Response, kMostList);
+  }
+  if (!connection_) {  // told in the next turn: this may be inside an action of the module
+    asking_ = true;
+    late_ = deadlines_.add(clock_.now(), [this] { fail("no connection to be had"); });
+    return;
+  }
+  asking_ = true;
+  transport::Duration longest = revision_ ? options_.wait + kGrace : kWhole;
+  late_ = deadlines_.add(clock_.now() + longest, [this] { fail("no answer in time"); });
+  network_.send(*connection_, protocol::write_watch(revision_, options_.wait, options_.address));
+}
+
+void HttpNames::on_bytes(transport::SlotRef at, std::string_view bytes) {
+  if (at != connection_) return;
+  parser_.feed(bytes);
+  try {
+    while (auto message = parser_.next())
+      if (message->status / 100 != 1) return answered(*message);
+  } catch (const protocol::HttpError& e) {
+    fail(std::string("malformed answer: ") + e.what());
+  }
+}
+
+void HttpNames::answered(const protocol::Message& m) {
+  if (!asking_) return hang_up();
+  if (m.status != 200) return fail("answered " + std::to_string(m.status));
+  protocol::NameList list;
+  try {
+    list = protocol::read_names(protocol::parse_json(m.body), words_);
+  } catch (const protocol::Refused& e) {
+    return fail(std::string("malformed list: ") + e.what());
+  }
+  if (!revision_ && !list.whole) return fail("changes came where the whole list was asked for");
+  deadlines_.drop(late_);
+  asking_ = false;
+  revision_ = list.revision;
+  if (!m.keep_alive || !parser_.idle()) hang_up();
+  ask();  // first: a watch ends when its next call is late
+  changed_(list.whole ? stagehinge::ListKind::Complete : stagehinge::ListKind::Partial, list);
+}
+
+void HttpNames::on_closed(transport::SlotRef at, bool) {
+  if (at != connection_) return;
+  connection_.reset();
+  if (auto last = parser_.at_end()) return answered(*last);
+  if (asking_) fail("the connection ended");
+}
+
+void HttpNames::fail(const std::string& why) {
+  log_.line("names", "a call to discovery failed: " + why);
+  hang_up();
+  asking_ = false;
+  if (options_.retries) late_ = deadlines_.add(clock_.now() + kAgain, [this] { watch(); });
+  changed_(stagehinge::ListKind::Error, {});
+}
+
+void HttpNames::hang_up() {
+  deadlines_.drop(late_);
+  if (connection_) network_.close(*connection_);
+  connection_.reset();
+}
+
+}  // namespace oatledge::program
--- /dev/null
+++ b/src/routing/router.cpp
@@ -0,0 +1,257 @@
+#include "router.h"
+
+namespace oatledge::routing {
+
+using stagehinge::Action;
+using stagehinge::ActionKind;
+using stagehinge::LoadReport;
+using stagehinge::Outcome;
+
+Router::Router(const stagehinge::Settings& settings, std::size_t most_commands, const transport::Clock& clock,
+               transport::Deadlines& deadlines, Ports ports, Log log)
+    : settings_(settings),
+      clock_(clock),
+      deadlines_(deadlines),
+      ports_(ports),
+      log_(std::move(log)),
+      table_(most_commands) {}
+
+// The module is never entered from inside one of its own actions: what a port reports meanwhile waits here.
+void Router::post(std::function<void()> event) {
+  events_.push_back(std::move(event));
+  if (running_) return;
+  running_ = true;
+  while (!events_.empty()) {
+    auto next = std::move(events_.front());
+    events_.pop_front();
+    next();
+  }
+  running_ = false;
+}
+
+void Router::act(std::vector<Action>& actions) {
+  for (const Action& a : actions) carry_out(a);
+}
+
+void Router::start(const std::vector<stagehinge::WorkerEntry>& known) {
+  post([&] {
+    std::vector<Action> actions;
+    dispatcher_.emplace(settings_, clock_.now(), actions);
+    act(actions);
+    actions.clear();
+    dispatcher_->on_list(clock_.now(), stagehinge::ListKind::Persisted, known, actions);
+    act(actions);
+  });
+}
+
+Router::Taking Router::take(NewCommand n, const std::function<void(CommandRef)>& known) {
+  if (by_id_.contains(n.request.id)) return Taking::Duplicate;
+  Command c;
+  c.id = n.request.id, c.cargo = std::move(n.cargo), c.ends = clock_.now() + n.request.patience;
+  std::optional<CommandRef> ref = table_.insert(std::move(c));
+  if (!ref) return Taking::Full;
+  by_id_[n.request.id] = *ref;
+  ++open_;
+  Command& kept = *table_.find(*ref);
+  kept.deadline = deadlines_.add(kept.ends, [this, r = *ref] { time_up(r); });
+  known(*ref);
+  post([this, request = n.request] {
+    std::vector<Action> actions;
+    dispatcher_->on_request(clock_.now(), request, actions);
+    act(actions);
+  });
+  return Taking::Taken;
+}
+
+void Router::client_gone(CommandRef ref) {
+  post([this, ref] { drop_client(ref); });
+}
+
+void Router::drop_client(CommandRef ref) {
+  Command* c = table_.find(ref);
+  if (!c || c->answered) return;
+  stagehinge::RequestId id = c->id;
+  c->answered = true;
+  --open_;
+  std::vector<Action> actions;
+  dispatcher_->on_client_gone(clock_.now(), id, actions);
+  act(actions);
+  if ((c = table_.find(ref))) close_answered(ref, *c);
+}
+
+void Router::attempt_ended(AttemptRef ref, Outcome outcome, const LoadReport& report) {
+  post([=, this] { end_attempt(ref, outcome, report, {}); });
+}
+
+void Router::progress(Progress news) {
+  post([this, news = std::move(news)]() mutable {
+    CommandRef ref;
+    Command* c = by_id(news.id, ref);
+    if (!c) return;  // finished or never heard of: calls repeat, and come late
+    // An instance has one attempt of a command at a time; an earlier one there has ended.
+    int attempt = static_cast<int>(c->attempts.size()) - 1;
+    while (attempt >= 0 && !(c->attempts[attempt].open && c->attempts[attempt].instance == news.instance))
+      --attempt;
+    if (attempt < 0) return;
+    if (!news.started && !news.progress) {
+      ports_.instances.settled({ref, attempt});
+      return end_attempt({ref, attempt}, news.outcome, news.report, std::move(news.result));
+    }
+    std::vector<Action> actions;
+    auto kind = news.started ? stagehinge::NoteKind::Started : stagehinge::NoteKind::Progress;
+    dispatcher_->on_note(clock_.now(), news.id, attempt, news.instance, kind, actions);
+    act(actions);
+  });
+}
+
+void Router::probe_ended(const std::string& instance, Outcome outcome, const LoadReport& report) {
+  post([=, this] {
+    std::vector<Action> actions;
+    dispatcher_->on_probe_result(clock_.now(), instance, outcome, report, actions);
+    act(actions);
+  });
+}
+
+void Router::names_changed(stagehinge::ListKind kind, const std::vector<stagehinge::WorkerEntry>& entries) {
+  post([this, kind, &entries] {  // by reference: lists come from sockets and timers, never from an action
+    std::vector<Action> actions;
+    dispatcher_->on_list(clock_.now(), kind, entries, actions);
+    act(actions);
+  });
+}
+
+void Router::fail_all() {
+  post([this] {
+    for (CommandRef ref : table_.refs()) {
+      Command* c = table_.find(ref);
+      if (!c || c->answered) continue;
+      ports_.clients.failed(ref);
+      drop_client(ref);
+    }
+  });
+}
+
+// ---- Actions ----
+
+void Router::carry_out(const Action& a) {
+  switch (a.kind) {
+    case ActionKind::Send: return send(a);
+    case ActionKind::Reject:
+    case ActionKind::Fail: return answer(a);
+    case ActionKind::Cancel: return cancel(a);
+    case ActionKind::Probe: return ports_.instances.probe(std::string(a.worker));
+    case ActionKind::Subscribe: return ports_.names.watch();
+    case ActionKind::SetTimer:
+      deadlines_.add(a.at, [this] {
+        post([this] {
+          std::vector<Action> actions;
+          dispatcher_->on_timer(clock_.now(), actions);
+          act(actions);
+        });
+      });
+      return;
+    case ActionKind::Log: return log_(a.text);
+  }
+}
+
+Router::Command* Router::by_id(stagehinge::RequestId id, CommandRef& ref) {
+  auto it = by_id_.find(id);
+  if (it == by_id_.end()) return nullptr;
+  ref = it->second;
+  return table_.find(ref);
+}
+
+void Router::send(const Action& a) {
+  CommandRef ref;
+  Command* c = by_id(a.id, ref);
+  std::string instance(a.worker);
+  if (!c) return post([=, this, id = a.id] { tell_end(id, 0, true, instance, Outcome::Void, {}); });
+  int attempt = static_cast<int>(c->attempts.size());
+  // Past the end, past the deadline or past the last attempt allowed nothing goes out; the module learns it
+  // as the simulator told it.
+  bool sent = !c->answered && clock_.now() < c->ends && attempt < settings_.max_attempts;
+  c->attempts.push_back({instance, sent});
+  if (sent) return ports_.instances.submit({ref, attempt}, instance, c->cargo, c->ends - clock_.now());
+  post([=, this, id = a.id, final = c->answered] {
+    tell_end(id, attempt, final, instance, Outcome::Void, {});
+  });
+}
+
+void Router::answer(const Action& a) {
+  CommandRef ref;
+  Command* c = by_id(a.id, ref);
+  if (!c || c->answered) return;
+  c->answered = true;
+  --open_;
+  if (a.kind == ActionKind::Reject) ports_.clients.nack(ref, a.retry_after);
+  else ports_.clients.failed(ref);
+  // Later, as the module's cancels of this command's attempts follow among the same actions.
+  post([this, ref] {
+    if (Command* done = table_.find(ref)) close_answered(ref, *done);
+  });
+}
+
+void Router::cancel(const Action& a) {
+  CommandRef ref;
+  Command* c = by_id(a.id, ref);
+  if (!c || a.attempt < 0 || a.attempt >= std::ssize(c->attempts) || !c->attempts[a.attempt].open) return;
+  ports_.instances.withdraw({ref, a.attempt});
+  post([=, this, attempt = a.attempt] { end_attempt({ref, attempt}, Outcome::Withdrawn, {}, {}); });
+}
+
+// ---- Ends ----
+
+void Router::end_attempt(AttemptRef ref, Outcome outcome, const LoadReport& report, std::string result) {
+  Command* c = table_.find(ref.command);
+  if (!c || ref.attempt >= std::ssize(c->attempts) || !c->attempts[ref.attempt].open) return;
+  c->attempts[ref.attempt].open = false;
+  if (outcome == Outcome::Success && !c->answered) {
+    c->answered = true;
+    --open_;
+    ports_.clients.served(ref.command, std::move(result));
+  }
+  tell_end(c->id, ref.attempt, c->answered, std::string(c->attempts[ref.attempt].instance), outcome, report);
+  if ((c = table_.find(ref.command))) close_answered(ref.command, *c);
+}
+
+void Router::tell_end(stagehinge::RequestId id, int attempt, bool final, const std::string& instance,
+                      Outcome outcome, const LoadReport& report) {
+  stagehinge::AttemptEnd e;
+  e.id = id, e.attempt = attempt, e.final = final, e.worker = instance, e.outcome = outcome,
+  e.report = report;
+  std::vector<Action> actions;
+  dispatcher_->on_attempt_end(clock_.now(), e, actions);
+  act(actions);
+}
+
+// The client's time is up: what is out has timed out. The module still owes its answer and usually gave it a
+// moment ago; where it gives none, the client gets a failure and the module is told that the client has left.
+void Router::time_up(CommandRef ref) {
+  post([this, ref] {
+    Command* c = table_.find(ref);
+    for (int i = 0; c && i < std::ssize(c->attempts); c = table_.find(ref), ++i)
+      if (c && c->attempts[i].open) {
+        ports_.instances.settled({ref, i});
+        end_attempt({ref, i}, Outcome::TimedOut, {}, {});
+      }
+    post([this, ref] {
+      Command* late = table_.find(ref);
+      if (!late || late->answered) return;
+      log_("a command reached its deadline without the module's answer");
+      ports_.clients.failed(ref);
+      drop_client(ref);
+    });
+  });
+}
+
+// Answered and nothing of it out any more: the slot is free for another.
+void Router::close_answered(CommandRef ref, Command& c) {
+  if (!c.answered) return;
+  for (const Attempt& a : c.attempts)
+    if (a.open) return;
+  deadlines_.drop(c.deadline);
+  by_id_.erase(c.id);
+  table_.erase(ref);
+}
+
+}  // namespace oatledge::routing
--- /dev/null
+++ b/src/routing/router.h
@@ -0,0 +1,101 @@
+// The command table between the ports and the decision module. It turns events into calls of the Dispatcher
+// and the Dispatcher's actions into calls of the ports, and keeps the promises that the simulator kept for
+// the module: one end for each send, time-outs at the client's deadline, and the first success straight to
+// the client.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <unordered_map>
+
+#include "../transport/deadlines.h"
+#include "ports.h"
+
+namespace oatledge::routing {
+
+struct NewCommand {
+  stagehinge::Request request;
+  std::shared_ptr<const Cargo> cargo;
+};
+
+struct Progress {  // what an instance tells of a job by its own call
+  stagehinge::RequestId id = 0;
+  std::string instance;
+  bool started = false, progress = false;  // else it has ended
+  stagehinge::Outcome outcome = stagehinge::Outcome::Failure;
+  stagehinge::LoadReport report;
+  std::string result;
+};
+
+class Router {
+ public:
+  struct Ports {
+    ClientSide& clients;
+    InstanceSide& instances;
+    NameTableSide& names;
+  };
+  using Log = std::function<void(const std::string&)>;
+
+  Router(const stagehinge::Settings& settings, std::size_t most_commands, const transport::Clock& clock,
+         transport::Deadlines& deadlines, Ports ports, Log log);
+
+  // Starts the decisions on the list as last held.
+  void start(const std::vector<stagehinge::WorkerEntry>& known);
+
+  // `known` learns the command's number before anything is decided: its answer may come inside this very
+  // call.
+  enum class Taking { Taken, Full, Duplicate };
+  Taking take(NewCommand command, const std::function<void(CommandRef)>& known);
+  void client_gone(CommandRef command);
+  void attempt_ended(AttemptRef attempt, stagehinge::Outcome outcome, const stagehinge::LoadReport& report);
+  void progress(Progress news);
+  void probe_ended(const std::string& instance, stagehinge::Outcome outcome,
+                   const stagehinge::LoadReport& report);
+  void names_changed(stagehinge::ListKind kind, const std::vector<stagehinge::WorkerEntry>& entries);
+  void fail_all();  // the program must end: what is still open gets its answer now
+
+  std::size_t open_commands() const { return open_; }
+
+ private:
+  struct Attempt {
+    std::string instance;
+    bool open = true;
+  };
+  struct Command {
+    stagehinge::RequestId id = 0;
+    std::shared_ptr<const Cargo> cargo;
+    transport::Time ends{};
+    bool answered = false;
+    std::vector<Attempt> attempts;
+    transport::Deadlines::Handle deadline;
+  };
+
+  void post(std::function<void()> event);
+  void act(std::vector<stagehinge::Action>& actions);
+  void carry_out(const stagehinge::Action& action);
+  void send(const stagehinge::Action& action);
+  void answer(const stagehinge::Action& action);
+  void cancel(const stagehinge::Action& action);
+  void end_attempt(AttemptRef ref, stagehinge::Outcome outcome, const stagehinge::LoadReport& report,
+                   std::string result);
+  void tell_end(stagehinge::RequestId id, int attempt, bool final, const std::string& instance,
+                stagehinge::Outcome outcome, const stagehinge::LoadReport& report);
+  void time_up(CommandRef ref);
+  void close_answered(CommandRef ref, Command& c);
+  void drop_client(CommandRef ref);
+  Command* by_id(stagehinge::RequestId id, CommandRef& ref);
+
+  stagehinge::Settings settings_;
+  const transport::Clock& clock_;
+  transport::Deadlines& deadlines_;
+  Ports ports_;
+  Log log_;
+  transport::SlotTable<Command> table_;
+  std::unordered_map<stagehinge::RequestId, CommandRef> by_id_;
+  std::optional<stagehinge::Dispatcher> dispatcher_;
+  std::deque<std::function<void()>> events_;
+  bool running_ = false;
+  std::size_t open_ = 0;
+};
+
+}  // namespace oatledge::routing
--- a/src/simhost/wire.h
+++ b/src/simhost/wire.h
@@ -6,24 +6,18 @@
 #include <charconv>
 #include <cmath>
 #include <limits>
-#include <map>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 
-namespace simhost {
+#include "../settings/reader.h"
 
-struct Malformed : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+namespace simhost {
 
-template <class Number>
-Number parse_number(std::string_view text) {
-  Number value{};
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size()) throw Malformed("not a number");
-  return value;
-}
+using stagehinge::settings::Columns;
+using stagehinge::settings::Malformed;
+using stagehinge::settings::parse_number;
+using stagehinge::settings::read_report;
+using stagehinge::settings::read_settings;
 
 // The space-separated parts of one line.
 class Fields {
@@ -72,11 +66,6 @@
   std::string_view rest_;
 };
 
-// What the columns x0 and x1 of a load report mean on this site.
-struct Columns {
-  bool x0_is_free_slots = false, x1_is_free_memory = false;
-};
-
 struct Row {
   std::string worker;
   stagehinge::WorkerEntry values;  // all but the name
@@ -126,126 +115,6 @@
   return Outcome::Failure;  // also a word not known here: the attempt is over and proves nothing
 }
 
-inline stagehinge::LoadReport read_report(std::string_view pairs, const Columns& columns) {
-  stagehinge::LoadReport report;
-  while (!pairs.empty() && pairs != "-") {
-    std::size_t comma = pairs.find(',');
-    std::string_view pair = pairs.substr(0, comma);
-    pairs = comma == std::string_view::npos ? std::string_view() : pairs.substr(comma + 1);
-    std::size_t colon = pair.find(':');
-    if (colon == std::string_view::npos) throw Malformed("a load report's pair has no colon");
-    std::string_view name = pair.substr(0, colon), value = pair.substr(colon + 1);
-    std::optional<double>* field = name == "rif"                               ? &report.inflight
-                                   : name == "q"                               ? &report.queue
-                                   : name == "busy"                            ? &report.busy
-                                   : name == "x0" && columns.x0_is_free_slots  ? &report.free_slots
-                                   : name == "x1" && columns.x1_is_free_memory ? &report.free_memory
-                                                                               : nullptr;
-    if (field && value != "-") *field = parse_number<double>(value);
-  }
-  return report;
-}
-
-// The settings of LAUNCH; returns the meaning of the report's columns.
-class SettingsReader {
- public:
-  explicit SettingsReader(std::string_view pairs) {
-    while (!pairs.empty()) {
-      std::size_t space = pairs.find(' ');
-      std::string_view pair = pairs.substr(0, space);
-      pairs = space == std::string_view::npos ? std::string_view() : pairs.substr(space + 1);
-      std::size_t equals = pair.find('=');
-      if (equals == std::string_view::npos) throw Malformed("a setting has no '='");
-      values_[std::string(pair.substr(0, equals))] = std::string(pair.substr(equals + 1));
-    }
-  }
-  std::string_view text(const std::string& key) const {
-    auto it = values_.find(key);
-    return it == values_.end() ? std::string_view() : std::string_view(it->second);
-  }
-  bool has(const std::string& key) const { return !text(key).empty() && text(key) != "-"; }
-  double number(const std::string& key, double otherwise) const {
-    return has(key) ? parse_number<double>(text(key)) : otherwise;
-  }
-  int whole(const std::string& key, int otherwise) const {
-    double value = number(key, otherwise);
-    if (!(value >= -1e9 && value <= 1e9)) throw Malformed("a setting is out of range");
-    return static_cast<int>(value);
-  }
-  stagehinge::Duration time(const std::string& key) const { return stagehinge::Duration(number(key, 0)); }
-  bool yes(const std::string& key) const { return text(key) == "true" || text(key) == "1"; }
-  std::optional<double> item(const std::string& key, std::size_t index) const {  // of a comma-joined list
-    std::string_view list = text(key);
-    for (; index > 0; --index) {
-      std::size_t comma = list.find(',');
-      if (comma == std::string_view::npos) return std::nullopt;
-      list = list.substr(comma + 1);
-    }
-    list = list.substr(0, list.find(','));
-    if (list.empty() || list == "-") return std::nullopt;
-    return parse_number<double>(list);
-  }
-
- private:
-  std::map<std::string, std::string> values_;
-};
-
-inline stagehinge::ClassSettings read_class(const SettingsReader& in, int index) {
-  using namespace stagehinge;
-  std::string lane = "Lanes." + std::to_string(index) + ".";
-  auto at = static_cast<std::size_t>(index);
-  ClassSettings c;
-  c.name = in.text(lane + "Name");
-  std::string_view effect = in.text(lane + "Effect"), group = in.text(lane + "Group");
-  c.effect = effect == "safe" ? Effect::Safe : effect == "keyed" ? Effect::Keyed : Effect::Unsafe;
-  c.group = group == "all" ? Group::All : group == "zone" ? Group::Zone : Group::Cell;
-  c.memory_span = in.time(lane + "MemorySpanMs");
-  c.aim = in.time(lane + "AimMs");
-  c.deadline = in.time(lane + "DeadlineMs");
-  c.stretch = in.number(lane + "AimStretch", in.item("Extra.ClassStretch", at).value_or(0));
-  c.worth = in.number(lane + "Worth", 1);
-  c.late_worth = in.number(lane + "LateWorth", 0);
-  c.kind = static_cast<int>(in.item("Extra.ClassKind", at).value_or(-1));
-  return c;
-}
-
-inline Columns read_settings(std::string_view pairs, stagehinge::Settings& s) {
-  using namespace stagehinge;
-  SettingsReader in(pairs);
-  s.zone = in.whole("Az", 0);
-  s.balancers = in.whole("Balancers", 1);
-  s.index = in.whole("Index", 0);
-  for (int i = 0; i < std::min(in.whole("Lanes.count", 0), 10'000); ++i)
-    s.classes.push_back(read_class(in, i));
-  s.tick = in.time("TickMs");
-  s.max_attempts = in.whole("Permissions.MaxAttempts", 1);
-  s.parallel_tries = in.yes("Permissions.ParallelTries");
-  if (in.has("Permissions.ConnectTimeoutMs")) s.connect_timeout = in.time("Permissions.ConnectTimeoutMs");
-  s.cancelling = in.yes("Permissions.Cancelling");
-  s.may_probe = in.yes("Permissions.MayProbe");
-  if (in.yes("Permissions.RetryAfter")) s.max_retry_after = in.time("Permissions.MaxRetryAfterMs");
-  s.must_subscribe = in.text("Discovery") == "subscribe";
-  std::string_view how = in.text("Report.How");
-  s.reports = how == "inline"     ? ReportMode::Inline
-              : how == "on_probe" ? ReportMode::OnProbe
-                                  : ReportMode::Off;
-  s.tells_start = in.yes("Extra.TellsStart");
-  s.progress_every = in.time("Extra.ProgressMs");
-  s.answer_slack = in.time("Invariants.AnswerSlackMs");
-  s.must_ask_in = in.time("Invariants.MustAskInMs");
-  s.drain_grace = in.time("Invariants.DrainGraceMs");
-  s.cold_from = in.number("Invariants.ColdFrom", s.cold_from);
-  s.ramp_time = in.time("Invariants.RampTimeMs");
-  s.tip_multiple = in.number("Invariants.TipMultiple", s.tip_multiple);
-  if (in.has("Invariants.FallMs")) s.fall_span = in.time("Invariants.FallMs");
-  if (in.has("Invariants.BudgetFree")) s.budget_free = in.number("Invariants.BudgetFree", 0);
-  if (in.has("Invariants.ExtraPerRequest")) s.extra_per_request = in.number("Invariants.ExtraPerRequest", 0);
-  if (in.has("Invariants.ExtraWindowMs")) s.extra_window = in.time("Invariants.ExtraWindowMs");
-  s.price_cross_zone = in.number("Penalties.CrossZone", 0);
-  s.worth_by_work = in.text("WorthBy") == "work";
-  return {in.text("Extra.ReportX0") == "free_slots", in.text("Extra.ReportX1") == "free_memory"};
-}
-
 // Three decimals; by whole thousandths where they fit, since the library's way for fractions takes far
 // longer.
 inline void write_time(stagehinge::Duration d, std::string& out) {
--- /dev/null
+++ b/src/transport/clock.h
@@ -0,0 +1,22 @@
+// The steady time that deadlines and decisions are counted in, behind an interface so that a test can set it.
+#pragma once
+
+#include <chrono>
+
+namespace oatledge::transport {
+
+using Duration = std::chrono::duration<double, std::milli>;
+using Time = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  virtual Time now() const = 0;
+};
+
+class SteadyClock final : public Clock {
+ public:
+  Time now() const override { return std::chrono::steady_clock::now(); }
+};
+
+}  // namespace oatledge::transport
--- /dev/null
+++ b/src/transport/gio_network.cpp
@@ -0,0 +1,269 @@
+#include "gio_network.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <array>
+#include <stdexcept>
+
+namespace oatledge::transport {
+namespace {
+
+constexpr std::size_t kMostUnsent = 1
+                                    << 20;  // a peer that takes no more than this behind has stopped reading
+constexpr Duration kLinger{1000};           // for the peer to close its side after ours
+constexpr Duration kAcceptPause{20};        // after running out of descriptors
+constexpr int kAcceptsATurn = 64;           // then the other sockets are looked at first
+constexpr int kBacklog = 1024;
+
+ObjectPtr<GSocketAddress> parse_address(const std::string& text) {
+  std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return nullptr;
+  std::string host = text.substr(0, colon), port = text.substr(colon + 1);
+  guint64 number = 0;
+  if (!g_ascii_string_to_unsigned(port.c_str(), 10, 1, 65535, &number, nullptr)) return nullptr;
+  return ObjectPtr<GSocketAddress>(
+      g_inet_socket_address_new_from_string(host.c_str(), static_cast<guint>(number)));
+}
+
+ObjectPtr<GSocket> new_socket(GSocketAddress* address, Error& error) {
+  ObjectPtr<GSocket> s(g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM,
+                                    G_SOCKET_PROTOCOL_TCP, error.out()));
+  if (s) g_socket_set_blocking(s.get(), FALSE);
+  return s;
+}
+
+void no_delay(GSocket* s) { g_socket_set_option(s, IPPROTO_TCP, TCP_NODELAY, 1, nullptr); }
+
+}  // namespace
+
+GioNetwork::GioNetwork(GMainContext* context, Deadlines& deadlines, const Clock& clock, Limits limits,
+                       Complain complain)
+    : context_(context),
+      deadlines_(deadlines),
+      clock_(clock),
+      limits_(limits),
+      complain_(std::move(complain)),
+      table_(limits.accepted + limits.connected) {}
+
+GioNetwork::~GioNetwork() {
+  for (SlotRef ref : table_.refs()) remove(ref);
+  deadlines_.drop(accept_again_);
+}
+
+void GioNetwork::listen(const std::string& address, Acceptor& acceptor) {
+  auto where = parse_address(address);
+  if (!where) throw std::runtime_error("not an address to listen on: " + address);
+  Error error;
+  listener_ = new_socket(where.get(), error);
+  if (!listener_) throw std::runtime_error(std::string("no socket: ") + error.text());
+  g_socket_set_listen_backlog(listener_.get(), kBacklog);
+  if (!g_socket_bind(listener_.get(), where.get(), TRUE, error.out()) ||
+      !g_socket_listen(listener_.get(), error.out()))
+    throw std::runtime_error("cannot listen on " + address + ": " + error.text());
+  acceptor_ = &acceptor;
+  resume_accepting();
+}
+
+void GioNetwork::resume_accepting() {
+  deadlines_.drop(accept_again_);
+  if (accepts_ || !listener_) return;
+  accepts_.reset(g_socket_create_source(listener_.get(), G_IO_IN, nullptr));
+  g_source_set_callback(accepts_.get(), G_SOURCE_FUNC(&GioNetwork::incoming), this, nullptr);
+  g_source_attach(accepts_.get(), context_);
+}
+
+void GioNetwork::pause_accepting(std::optional<Duration> again) {
+  accepts_.reset();
+  if (again) accept_again_ = deadlines_.add(clock_.now() + *again, [this] { resume_accepting(); });
+}
+
+gboolean GioNetwork::incoming(GSocket*, GIOCondition, gpointer data) {
+  static_cast<GioNetwork*>(data)->accept_all();
+  return G_SOURCE_CONTINUE;
+}
+
+void GioNetwork::accept_all() {
+  for (int i = 0; i < kAcceptsATurn; ++i) {
+    // Guards the descriptors kept for instances and discovery: a crowd of clients sheds its own idle ones
+    // first, and where all are at work the next wait in the listen queue until one closes.
+    if (accepted_ >= limits_.accepted && !acceptor_->shed_idle()) return pause_accepting(std::nullopt);
+    Error error;
+    ObjectPtr<GSocket> socket(g_socket_accept(listener_.get(), nullptr, error.out()));
+    if (!socket) {
+      if (error.is(G_IO_ERROR_WOULD_BLOCK)) return;
+      if (error.is(G_IO_ERROR_CONNECTION_CLOSED)) continue;  // gone before it was taken
+      // Guards against EMFILE: the listener stays readable then, and a loop that tries again at once eats the
+      // core.
+      complain_(std::string("cannot accept: ") + error.text());
+      acceptor_->shed_idle();
+      return pause_accepting(kAcceptPause);
+    }
+    g_socket_set_blocking(socket.get(), FALSE);
+    no_delay(socket.get());
+    Connection c;
+    c.socket = std::move(socket), c.handler = acceptor_, c.accepted = true;
+    std::optional<SlotRef> ref = table_.insert(std::move(c));
+    if (!ref) return pause_accepting(kAcceptPause);
+    ++accepted_;
+    Connection& kept = *table_.find(*ref);
+    kept.reads = watch(*ref, kept, G_IO_IN);
+    acceptor_->on_accepted(*ref);
+  }
+}
+
+std::optional<SlotRef> GioNetwork::connect(const std::string& address, ConnectionHandler& handler,
+                                           Urgency urgency) {
+  auto where = parse_address(address);
+  if (!where || connected_ >= limits_.connected) return std::nullopt;
+  Error error;
+  Connection c;
+  c.socket = new_socket(where.get(), error);
+  if (!c.socket) {  // EMFILE
+    complain_(std::string("cannot open a socket: ") + error.text());
+    if (acceptor_) acceptor_->shed_idle();
+    return std::nullopt;
+  }
+  no_delay(c.socket.get());
+  c.handler = &handler, c.state = State::Connecting;
+  if (urgency == Urgency::High) c.priority = G_PRIORITY_HIGH;
+  bool up = g_socket_connect(c.socket.get(), where.get(), nullptr, error.out());
+  bool failed = !up && !error.is(G_IO_ERROR_PENDING);
+  std::optional<SlotRef> ref = table_.insert(std::move(c));
+  if (!ref) return std::nullopt;
+  ++connected_;
+  Connection& kept = *table_.find(*ref);
+  // A refusal on the spot is told in the next turn: a handler is never called from inside its own call.
+  if (failed) kept.end = deadlines_.add(clock_.now(), [this, r = *ref] { broken(r); });
+  else kept.writes = watch(*ref, kept, G_IO_OUT);
+  return ref;
+}
+
+SourcePtr GioNetwork::watch(SlotRef ref, const Connection& c, GIOCondition condition) {
+  SourcePtr source(g_socket_create_source(c.socket.get(), condition, nullptr));
+  g_source_set_callback(source.get(), G_SOURCE_FUNC(&GioNetwork::ready), new Watch{this, ref},
+                        [](gpointer data) { delete static_cast<Watch*>(data); });
+  g_source_set_priority(source.get(), c.priority);
+  g_source_attach(source.get(), context_);
+  return source;
+}
+
+gboolean GioNetwork::ready(GSocket*, GIOCondition condition, gpointer data) {
+  Watch at = *static_cast<Watch*>(data);  // a copy: what follows may destroy this very source
+  Connection* c = at.network->table_.find(at.ref);
+  if (!c) return G_SOURCE_REMOVE;
+  bool writing = c->state == State::Connecting || ((condition & G_IO_OUT) != 0 && !c->unsent.empty());
+  if (writing) at.network->on_writable(at.ref);
+  else at.network->on_readable(at.ref);
+  return G_SOURCE_CONTINUE;
+}
+
+void GioNetwork::on_readable(SlotRef ref) {
+  std::array<char, 1 << 14> bytes;
+  for (int i = 0; i < 4; ++i) {  // then the others' turn
+    Connection* c = table_.find(ref);
+    if (!c) return;
+    Error error;
+    gssize n = g_socket_receive(c->socket.get(), bytes.data(), bytes.size(), nullptr, error.out());
+    if (n < 0 && error.is(G_IO_ERROR_WOULD_BLOCK)) return;
+    if (n <= 0) return broken(ref);
+    if (c->state == State::Open) c->handler->on_bytes(ref, {bytes.data(), static_cast<std::size_t>(n)});
+    if (static_cast<std::size_t>(n) < bytes.size()) return;
+  }
+}
+
+void GioNetwork::on_writable(SlotRef ref) {
+  Connection* c = table_.find(ref);
+  if (!c) return;
+  if (c->state == State::Connecting) {
+    Error error;
+    if (!g_socket_check_connect_result(c->socket.get(), error.out())) return broken(ref);
+    c->state = State::Open;
+    c->writes.reset();
+    c->reads = watch(ref, *c, G_IO_IN);
+    c->handler->on_connected(ref);
+    c = table_.find(ref);
+    if (!c || c->unsent.empty()) return;
+  }
+  flush(ref, *c);
+}
+
+void GioNetwork::send(SlotRef ref, std::string bytes) {
+  Connection* c = table_.find(ref);
+  if (!c || c->state == State::Lingering) return;
+  if (c->unsent.empty()) c->unsent = std::move(bytes);
+  else c->unsent += bytes;
+  if (c->state != State::Connecting) flush(ref, *c);
+}
+
+// Never calls the handler: an error found here shows again when the connection is read.
+void GioNetwork::flush(SlotRef ref, Connection& c) {
+  std::size_t done = 0;
+  bool failed = false;
+  while (done < c.unsent.size()) {
+    Error error;
+    gssize n =
+        g_socket_send(c.socket.get(), c.unsent.data() + done, c.unsent.size() - done, nullptr, error.out());
+    if (n < 0) {
+      failed = !error.is(G_IO_ERROR_WOULD_BLOCK);
+      break;
+    }
+    done += static_cast<std::size_t>(n);
+  }
+  c.unsent.erase(0, done);
+  if (failed || c.unsent.size() > kMostUnsent) {
+    // Guards against EPIPE and peers that never read: told as a break in the next turn.
+    c.reads.reset();
+    c.writes.reset();
+    if (c.end.order == 0) c.end = deadlines_.add(clock_.now(), [this, ref] { broken(ref); });
+    return;
+  }
+  if (!c.unsent.empty()) {
+    if (!c.writes) c.writes = watch(ref, c, G_IO_OUT);
+    return;
+  }
+  c.writes.reset();
+  if (c.state == State::Flushing) {
+    c.state = State::Lingering;
+    g_socket_shutdown(c.socket.get(), FALSE, TRUE, nullptr);
+    c.end = deadlines_.add(clock_.now() + kLinger, [this, ref] { remove(ref); });
+  }
+}
+
+// A close while the peer still writes would reset the connection and could destroy an answer on its way.
+// So our side is shut first, and what comes is thrown away until the peer closes too.
+void GioNetwork::finish(SlotRef ref) {
+  Connection* c = table_.find(ref);
+  if (!c) return;
+  if (c->state == State::Connecting) return remove(ref);
+  if (c->state != State::Open) return;
+  c->state = State::Flushing;
+  flush(ref, *c);
+}
+
+void GioNetwork::close(SlotRef ref) { remove(ref); }
+
+void GioNetwork::broken(SlotRef ref) {
+  Connection* c = table_.find(ref);
+  if (!c) return;
+  ConnectionHandler* handler = c->handler;
+  bool told = c->state == State::Connecting || c->state == State::Open;
+  bool all_written = c->state != State::Connecting && c->unsent.empty();
+  remove(ref);
+  if (told) handler->on_closed(ref, all_written);
+}
+
+void GioNetwork::remove(SlotRef ref) {
+  Connection* c = table_.find(ref);
+  if (!c) return;
+  deadlines_.drop(c->end);
+  c->reads.reset();
+  c->writes.reset();
+  g_socket_close(c->socket.get(), nullptr);
+  --(c->accepted ? accepted_ : connected_);
+  bool resume = c->accepted && !accepts_ && accept_again_.order == 0;
+  table_.erase(ref);
+  if (resume) resume_accepting();
+}
+
+}  // namespace oatledge::transport
--- /dev/null
+++ b/src/transport/gio_network.h
@@ -0,0 +1,75 @@
+// Non-blocking GIO sockets in a table of numbered slots, served by one GLib main context.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <string>
+
+#include "deadlines.h"
+#include "glib.h"
+#include "network.h"
+
+namespace oatledge::transport {
+
+class GioNetwork final : public Network {
+ public:
+  struct Limits {
+    std::size_t accepted;   // connections taken on the listening address
+    std::size_t connected;  // connections opened; kept apart, so that a crowd of clients cannot use them up
+  };
+  using Complain = std::function<void(const std::string&)>;
+
+  GioNetwork(GMainContext* context, Deadlines& deadlines, const Clock& clock, Limits limits,
+             Complain complain);
+  ~GioNetwork() override;
+
+  void listen(const std::string& address, Acceptor& acceptor);  // throws std::runtime_error
+  std::optional<SlotRef> connect(const std::string& address, ConnectionHandler& handler,
+                                 Urgency urgency) override;
+  void send(SlotRef connection, std::string bytes) override;
+  void finish(SlotRef connection) override;
+  void close(SlotRef connection) override;
+
+ private:
+  enum class State { Connecting, Open, Flushing, Lingering };
+  struct Connection {
+    ObjectPtr<GSocket> socket;
+    ConnectionHandler* handler = nullptr;
+    bool accepted = false;
+    State state = State::Open;
+    int priority = G_PRIORITY_DEFAULT;
+    std::string unsent;
+    SourcePtr reads, writes;
+    Deadlines::Handle end;  // of connecting's immediate failure, or of lingering
+  };
+  struct Watch {  // a source's way back to its slot
+    GioNetwork* network;
+    SlotRef ref;
+  };
+
+  static gboolean ready(GSocket* socket, GIOCondition condition, gpointer data);
+  static gboolean incoming(GSocket* socket, GIOCondition condition, gpointer data);
+  SourcePtr watch(SlotRef ref, const Connection& c, GIOCondition condition);
+  void accept_all();
+  void pause_accepting(std::optional<Duration> again);
+  void resume_accepting();
+  void on_readable(SlotRef ref);
+  void on_writable(SlotRef ref);
+  void flush(SlotRef ref, Connection& c);
+  void broken(SlotRef ref);
+  void remove(SlotRef ref);
+
+  GMainContext* context_;
+  Deadlines& deadlines_;
+  const Clock& clock_;
+  Limits limits_;
+  Complain complain_;
+  SlotTable<Connection> table_;
+  std::size_t accepted_ = 0, connected_ = 0;
+  ObjectPtr<GSocket> listener_;
+  SourcePtr accepts_;
+  Acceptor* acceptor_ = nullptr;
+  Deadlines::Handle accept_again_;
+};
+
+}  // namespace oatledge::transport
--- /dev/null
+++ b/src/transport/glib.h
@@ -0,0 +1,46 @@
+// Owners for what GLib counts by hand.
+#pragma once
+
+#include <gio/gio.h>
+
+#include <memory>
+
+namespace oatledge::transport {
+
+struct ObjectUnref {
+  void operator()(gpointer object) const { g_object_unref(object); }
+};
+template <class T>
+using ObjectPtr = std::unique_ptr<T, ObjectUnref>;
+
+struct SourceDestroy {  // also takes it out of its context, so that it never fires again
+  void operator()(GSource* source) const {
+    g_source_destroy(source);
+    g_source_unref(source);
+  }
+};
+using SourcePtr = std::unique_ptr<GSource, SourceDestroy>;
+
+struct ContextUnref {
+  void operator()(GMainContext* context) const { g_main_context_unref(context); }
+};
+using ContextPtr = std::unique_ptr<GMainContext, ContextUnref>;
+
+class Error {  // filled through out(), freed by itself
+ public:
+  Error() = default;
+  Error(const Error&) = delete;
+  Error& operator=(const Error&) = delete;
+  ~Error() { g_clear_error(&error_); }
+  GError** out() {
+    g_clear_error(&error_);
+    return &error_;
+  }
+  bool is(GIOErrorEnum code) const { return g_error_matches(error_, G_IO_ERROR, code); }
+  const char* text() const { return error_ ? error_->message : "no error"; }
+
+ private:
+  GError* error_ = nullptr;
+};
+
+}  // namespace oatledge::transport
--- /dev/null
+++ b/src/transport/loop.h
@@ -0,0 +1,22 @@
+// The turn of the program: wait for sockets, let GLib serve them, sweep the deadlines.
+#pragma once
+
+#include "deadlines.h"
+#include "glib.h"
+
+namespace oatledge::transport {
+
+class Loop {
+ public:
+  Loop(Deadlines& deadlines, const Clock& clock);
+  GMainContext* context() { return context_.get(); }
+  void turn();
+
+ private:
+  Deadlines& deadlines_;
+  const Clock& clock_;
+  ContextPtr context_;
+  SourcePtr wake_;  // the one timed source: it only ends the wait when the earliest deadline comes
+};
+
+}  // namespace oatledge::transport
