--- a/src/program/http_front.cpp
+++ b/src/program/http_front.cpp
@@ -67,12 +67,14 @@
 void HttpFront::handle(SlotRef at, Message m) {
   std::string_view path = std::string_view(m.target).substr(0, m.target.find('?'));
   bool ready = path == "/ready", news = path == "/_jobs/news";
-  if (!ready && !news && !protocol::is_command_path(m.target))
-    return respond(at, 404, kText, "no such path\n");
+  if (!ready && !news && !protocol::is_command_path(m.target)) return respond(at, 404, kText, "no such path");
   const char* method = ready ? "GET" : "POST";
   if (m.method != method) return respond(at, 405, {{"Allow", method}}, "");
   if (ready)
-    return respond(at, ready_ && !draining_ ? 200 : 503, kText, ready_ ? "ready\n" : "no list yet\n");
+    return respond(at, ready_ && !draining_ ? 200 : 503, kText,
+                   draining_ ? "draining"
+                   : ready_  ? "ready"
+                             : "no list yet");
   if (news) return take_news(at, m);
   take_command(at, std::move(m));
 }
@@ -94,7 +96,7 @@
   // Never reached the module, so nothing of it can have run: trying again is harmless.
   if (taken == Taking::Full) {
     log_.line("full", "the command table is full; a command was refused");
-    respond(at, 503, {}, "too many commands are open\n");
+    respond(at, 503, {}, "too many commands are open");
   } else if (taken == Taking::Duplicate) {
     reject(at, 409, "a command with this X-Correlation-Id is open");
   }
@@ -132,7 +134,7 @@
 
 void HttpFront::reject(SlotRef at, int status, const std::string& why) {
   log_.line("client", std::to_string(status) + ": " + why);
-  respond(at, status, kText, why + "\n");
+  respond(at, status, kText, why);
 }
 
 void HttpFront::answer(routing::CommandRef command, int status, const Headers& headers,
@@ -155,11 +157,11 @@
     std::snprintf(seconds, sizeof seconds, "%.3f", retry_after.count() / 1000);
     headers.emplace_back("Retry-After", seconds);
   }
-  answer(command, 503, headers, "refused; nothing of it has run\n");
+  answer(command, 503, headers, "refused; nothing of it has run");
 }
 
 void HttpFront::failed(routing::CommandRef command) {
-  answer(command, 502, kText, "failed; it may have run\n");
+  answer(command, 502, kText, "failed; it may have run");
 }
 
 void HttpFront::on_closed(SlotRef at, bool) {
--- a/src/program/http_instances.cpp
+++ b/src/program/http_instances.cpp
@@ -73,8 +73,13 @@
 
 void HttpInstances::settled(AttemptRef attempt) {
   std::optional<Active> a = release(attempt);
+  if (!a || !a->connection) return;
   // A call-back can overtake the 202: the call goes on without its attempt, so that the connection is kept.
-  if (a && a->connection) calls_.at(*a->connection).attempt.reset();
+  // It gets an end of its own now: an instance that never answers must not keep the descriptor.
+  Call& c = calls_.at(*a->connection);
+  c.attempt.reset();
+  c.answer =
+      deadlines_.add(clock_.now() + times_.probe, [this, r = *a->connection] { end(r, Outcome::TimedOut); });
 }
 
 std::optional<HttpInstances::Active> HttpInstances::release(AttemptRef attempt) {
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -238,7 +238,7 @@
 // ---- The name table ----
 
 NameList read_names(const Json::Value& v, const Vocabulary& words) {
-  if (!v.isObject() || !v["rev"].isIntegral() || !v["all"].isBool() || !v["targets"].isArray())
+  if (!v.isObject() || !v["rev"].isInt64() || !v["all"].isBool() || !v["targets"].isArray())
     throw Refused("a list needs rev, all and targets");
   NameList list;
   list.revision = v["rev"].asInt64(), list.whole = v["all"].asBool();
--- a/src/transport/gio_network.cpp
+++ b/src/transport/gio_network.cpp
@@ -87,7 +87,11 @@
   for (int i = 0; i < kAcceptsATurn; ++i) {
     // Guards the descriptors kept for instances and discovery: a crowd of clients sheds its own idle ones
     // first, and where all are at work the next wait in the listen queue until one closes.
-    if (accepted_ >= limits_.accepted && !acceptor_->shed_idle()) return pause_accepting(std::nullopt);
+    if (accepted_ >= limits_.accepted) {
+      // Only for a newcomer that is really there: a full table alone is no reason to close anything.
+      if ((g_socket_condition_check(listener_.get(), G_IO_IN) & G_IO_IN) == 0) return;
+      if (!acceptor_->shed_idle()) return pause_accepting(std::nullopt);
+    }
     Error error;
     ObjectPtr<GSocket> socket(g_socket_accept(listener_.get(), nullptr, error.out()));
     if (!socket) {
--- /dev/null
+++ b/tests/net/exchanges_test.cpp
@@ -0,0 +1,31 @@
+// Every recorded exchange of tests/net/exchanges against the program.
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <set>
+
+#include "player.h"
+
+using namespace oatledge;
+
+TEST_CASE("recorded exchanges") {
+  std::string folder = OATLEDGE_NET_TESTS;
+  // Parts that others play and that are no exchange of their own.
+  const std::set<std::string> parts{"start", "order", "order2", "taken", "group"};
+  std::set<std::string> names;
+  for (const auto& entry : std::filesystem::directory_iterator(folder + "/exchanges"))
+    if (entry.path().extension() == ".txt") names.insert(entry.path().stem().string());
+  REQUIRE(names.size() > parts.size());
+  for (const std::string& name : names) {
+    if (parts.contains(name)) continue;
+    SECTION(name) {
+      testing::Player player(folder);
+      try {
+        player.play(name + ".txt");
+        player.check_nothing_left();
+      } catch (const std::exception& e) {
+        FAIL(name << ": " << e.what());
+      }
+      SUCCEED();
+    }
+  }
+}
--- /dev/null
+++ b/tests/net/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/net/parts_test.cpp
@@ -0,0 +1,196 @@
+// The parts that are pure: parser, messages, settings, slots and deadlines.
+#include <catch2/catch.hpp>
+
+#include "player.h"
+
+using namespace oatledge;
+using protocol::HttpError;
+using protocol::Message;
+using protocol::Parser;
+
+namespace {
+
+program::Config config(const std::string& json = testing::read_file(OATLEDGE_NET_TESTS "/config.json")) {
+  return program::read_config(
+      json, [](const char*) { return std::string(); }, transport::Duration(0));
+}
+
+int status_of(const std::string& bytes) {  // what the parser answers to a malformed request
+  Parser p(Parser::Kind::Request);
+  p.feed(bytes);
+  try {
+    while (p.next()) {
+    }
+  } catch (const HttpError& e) {
+    return e.status;
+  }
+  return 0;
+}
+
+}  // namespace
+
+TEST_CASE("a message is the same however its bytes are cut") {
+  const std::string bytes =
+      "POST /api?a=1 HTTP/1.1\r\nX-A: b\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: t\r\n\r\n"
+      "GET /ready HTTP/1.0\r\n\r\n";
+  for (std::size_t cut = 1; cut < bytes.size(); ++cut) {
+    Parser p(Parser::Kind::Request);
+    std::vector<Message> got;
+    for (std::size_t at = 0; at < bytes.size(); at += cut) {
+      p.feed(std::string_view(bytes).substr(at, cut));
+      while (auto m = p.next()) got.push_back(*m);
+    }
+    REQUIRE(got.size() == 2);
+    CHECK(got[0].body == "abcde");
+    CHECK(got[0].header("x-a") == "b");
+    CHECK(got[0].keep_alive);
+    CHECK(got[1].target == "/ready");
+    CHECK_FALSE(got[1].keep_alive);
+    CHECK(p.idle());
+  }
+}
+
+TEST_CASE("malformed and oversized requests have their status") {
+  CHECK(status_of("GET\r\n\r\n") == 400);
+  CHECK(status_of("GET /a b HTTP/1.1\r\n\r\n") == 400);
+  CHECK(status_of("GET / HTTP/2.0\r\n\r\n") == 505);
+  CHECK(status_of("GET / HTTP/1.1\r\nno colon\r\n\r\n") == 400);
+  CHECK(status_of("GET / HTTP/1.1\r\nA : b\r\n\r\n") == 400);
+  CHECK(status_of("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n") == 400);
+  CHECK(status_of("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n") == 400);
+  CHECK(status_of("POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n") == 400);
+  CHECK(status_of("POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n") == 501);
+  CHECK(status_of("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n") == 400);
+  CHECK(status_of("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n") == 413);
+  CHECK(status_of("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n") == 413);
+  CHECK(status_of("GET / HTTP/1.1\r\nA: " + std::string(20'000, 'a')) == 431);
+  CHECK(status_of("GET / HTTP/1.1\r\n\r\n") == 0);
+}
+
+TEST_CASE("a response without a length ends with its connection") {
+  Parser p(Parser::Kind::Response);
+  p.feed("HTTP/1.1 200 OK\r\n\r\nall of");
+  CHECK_FALSE(p.next());
+  p.feed(" it");
+  CHECK_FALSE(p.next());
+  auto m = p.at_end();
+  REQUIRE(m);
+  CHECK(m->body == "all of it");
+}
+
+TEST_CASE("the configuration fills the module's settings") {
+  program::Config c = config();
+  REQUIRE(c.settings.classes.size() == 2);
+  CHECK(c.settings.classes[0].effect == stagehinge::Effect::Unsafe);
+  CHECK(c.settings.classes[0].stretch == 2.5);
+  CHECK(c.settings.classes[1].memory_span == stagehinge::Duration(15000));
+  CHECK(c.settings.seed == 0x8c1f30d27a5be964);
+  CHECK(c.words.columns.x0_is_free_slots);
+  CHECK(c.words.tenants == std::vector<std::string>{"lanting, bento"});
+  CHECK(c.conn_idle == stagehinge::Duration(5000));
+  REQUIRE(c.known);
+  CHECK(c.known->entries.at(0).uid == "s-a");
+}
+
+TEST_CASE("a bad configuration is one line") {
+  for (const char* bad :
+       {"", "{", "[]", "{}", R"({"name":"n","listen":"a","discovery":"b","settings":{}})",
+        R"({"settings":{"Lanes":[{"Name":"a"}]}})",
+        R"({"name":"n","listen":"a","discovery":"b","settings":{"Lanes":[{"AimMs":"soon"}]}})"}) {
+    try {
+      config(bad);
+      FAIL("accepted: " << bad);
+    } catch (const std::runtime_error& e) {
+      CHECK(std::string(e.what()).starts_with("configuration: "));
+    }
+  }
+}
+
+// The module takes a changed start for a restart: the same boot_ms must always give the same time.
+TEST_CASE("a wall-clock start becomes a steady one") {
+  protocol::Vocabulary words = config().words;
+  words.wall_to_steady = transport::Duration(-500);
+  auto list = protocol::read_names(protocol::parse_json(R"({"rev":1,"all":true,"targets":[
+        {"uid":"a","endpoint":"h:1","state":"up","boot_ms":1700},{"uid":"b","endpoint":"h:2","state":"asleep","boot_ms":0}]})"),
+                                   words);
+  CHECK(list.entries[0].entry.online_since == transport::Time(transport::Duration(1200)));
+  CHECK_FALSE(list.entries[1].entry.online_since);
+  CHECK(list.entries[1].entry.readiness == stagehinge::Readiness::Terminating);
+}
+
+TEST_CASE("a load report that makes no sense is dropped") {
+  protocol::Vocabulary words = config().words;
+  auto slots = [&](const std::string& header) {
+    Message m;
+    m.status = 200, m.headers = {{"X-Backend-Load", header}};
+    return protocol::read_probe_answer(m, words).report.free_slots;
+  };
+  CHECK(slots("TEXT fail_rate=0.1, q=2, x0=1.5") == 1.5);
+  CHECK_FALSE(slots("TEXT x0=-1"));
+  CHECK_FALSE(slots("TEXT x0=nan"));
+  CHECK_FALSE(slots("TEXT x0=1.5, q"));
+  CHECK_FALSE(slots("TEXT x0=1.5, q=1e300"));
+  Message json;
+  json.status = 200, json.body = R"({"x0":2,"q":0})";
+  CHECK(protocol::read_probe_answer(json, words).report.free_slots == 2);
+}
+
+TEST_CASE("the hint is in microseconds") {
+  Message m;
+  m.headers = {{"X-Correlation-Id", "00000000000000a1"},
+               {"X-Service-Class", "place-order"},
+               {"X-Account", "lanting, bento"},
+               {"X-Time-Left-Ms", "480"},
+               {"X-Weight-Hint", "2500"},
+               {"X-Facts", "slots=2, colour=3"}};
+  auto c = protocol::read_command(std::move(m), config().words);
+  CHECK(c.request.hint == stagehinge::Duration(2.5));
+  CHECK(c.request.slots == 2);
+  CHECK(c.request.patience == stagehinge::Duration(480));
+}
+
+TEST_CASE("a slot's old number finds nothing") {
+  transport::SlotTable<int> table(2);
+  auto a = *table.insert(1), b = *table.insert(2);
+  CHECK_FALSE(table.insert(3));
+  table.erase(a);
+  auto c = *table.insert(3);
+  CHECK(c.slot == a.slot);
+  CHECK_FALSE(table.find(a));
+  CHECK(*table.find(b) == 2);
+  CHECK(*table.find(c) == 3);
+}
+
+TEST_CASE("deadlines fire in order, and what a sweep adds waits for the next") {
+  transport::Deadlines deadlines;
+  transport::Time zero{};
+  std::string fired;
+  auto at = [&](double ms, char name) {
+    return deadlines.add(zero + transport::Duration(ms), [&fired, name] { fired += name; });
+  };
+  at(2, 'b');
+  at(1, 'a');
+  auto dropped = at(1, 'x');
+  deadlines.add(zero, [&] { at(0, 'n'); });
+  deadlines.drop(dropped);
+  deadlines.sweep(zero + transport::Duration(1));
+  CHECK(fired == "a");
+  deadlines.sweep(zero + transport::Duration(2));
+  CHECK(fired == "anb");
+  CHECK_FALSE(deadlines.next());
+}
+
+TEST_CASE("a storm of one kind of line is counted, not written") {
+  testing::ManualClock clock;
+  std::vector<std::string> lines;
+  program::Log log(clock, [&](const std::string& line) { lines.push_back(line); });
+  for (int i = 0; i < 50; ++i) log.line("client", "400: two\nlines");
+  CHECK(lines.size() == 20);
+  CHECK(lines[0] == "client: 400: two?lines");
+  log.line("names", "heard");
+  CHECK(lines.size() == 21);
+  clock.at += transport::Duration(10'000);
+  log.line("client", "again");
+  CHECK(lines[21] == "client: 30 more like this were left out");
+}
--- /dev/null
+++ b/tests/net/player.h
@@ -0,0 +1,192 @@
+// Plays a recorded exchange of bytes against the whole program, over a network and a clock that do what the
+// file says. The words of such a file are explained in exchanges/README.
+#pragma once
+
+#include <fstream>
+#include <iterator>
+#include <sstream>
+
+#include "../../src/program/app.h"
+
+namespace oatledge::testing {
+
+struct Mismatch : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+inline std::string read_file(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) throw Mismatch("cannot read " + path);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+class ManualClock final : public transport::Clock {
+ public:
+  transport::Time now() const override { return at; }
+  transport::Time at{transport::Duration(1000)};
+};
+
+class PlayedNetwork final : public transport::Network {
+ public:
+  struct End {
+    std::string name, address, sent;  // no name: the file has not met this connection yet
+    transport::ConnectionHandler* handler = nullptr;
+    bool closed = false, finished = false;
+  };
+  std::map<transport::SlotRef, End> ends;
+  bool no_descriptors = false;
+
+  transport::SlotRef add(End end) {
+    transport::SlotRef ref{next_++, 1};
+    ends[ref] = std::move(end);
+    return ref;
+  }
+  std::optional<transport::SlotRef> connect(const std::string& address, transport::ConnectionHandler& handler,
+                                            transport::Urgency) override {
+    if (no_descriptors) return std::nullopt;
+    return add({"", address, "", &handler});
+  }
+  void send(transport::SlotRef ref, std::string bytes) override { ends.at(ref).sent += bytes; }
+  void finish(transport::SlotRef ref) override { ends.at(ref).finished = true; }
+  void close(transport::SlotRef ref) override { ends.at(ref).closed = true; }
+
+ private:
+  std::uint32_t next_ = 0;
+};
+
+class Player {
+ public:
+  explicit Player(const std::string& folder)
+      : folder_(folder), config_json_(protocol::parse_json(read_file(folder + "/config.json"))) {}
+
+  void play(const std::string& file) {
+    std::istringstream in(read_file(folder_ + "/exchanges/" + file));
+    int number = 0;
+    for (std::string line; std::getline(in, line);) {
+      ++number;
+      if (line.empty() || line[0] == '#') continue;
+      try {
+        step(line);
+      } catch (const std::exception& e) {
+        throw Mismatch(file + ":" + std::to_string(number) + ": " + line + "\n  " + e.what());
+      }
+    }
+  }
+  // At the end of a file all that the program did has been named in it.
+  void check_nothing_left() {
+    for (auto& [ref, end] : network_.ends) {
+      if (end.name.empty()) throw Mismatch("a connection to " + end.address + " is not in the file");
+      if (!end.sent.empty()) throw Mismatch(end.name + " got more than the file has:\n" + end.sent);
+    }
+  }
+
+ private:
+  static void need(bool ok, const std::string& otherwise) {
+    if (!ok) throw Mismatch(otherwise);
+  }
+
+  void step(const std::string& line) {
+    std::istringstream words(line);
+    std::string first, second, rest;
+    words >> first >> second;
+    std::getline(words, rest);
+    if (!rest.empty()) rest.erase(0, 1);
+    if (first == "play") play(second);
+    else if (first == "set") set(second, rest);
+    else if (first == "start") start();
+    else if (first == "wait") wait(std::stod(second));
+    else if (first == "open") open(second);
+    else if (first == "connects" || first == "refuses" || first == "opens") meet(second, rest, first);
+    else if (first == "descriptors") network_.no_descriptors = second == "none";
+    else if (first == "terminate") app_->terminate();
+    else if (first == "ended") need(app_->finished() == (second == "yes"), "the program thinks otherwise");
+    else if (first == "log")
+      need(log_text_.find(line.substr(4)) != std::string::npos, "logged:\n" + log_text_);
+    else speak(first, second, rest);
+  }
+
+  void set(const std::string& path, const std::string& value) {
+    Json::Value* at = &config_json_;
+    std::istringstream names(path);
+    for (std::string name; std::getline(names, name, '.');) at = &(*at)[name];
+    *at = protocol::parse_json("[" + value + "]")[0];
+  }
+
+  void start() {
+    config_ = program::read_config(
+        config_json_.toStyledString(), [](const char*) { return std::string(); }, transport::Duration(0));
+    app_.emplace(config_, network_, deadlines_, clock_, log_);
+    app_->start();
+  }
+
+  void wait(double ms) {
+    transport::Time until = clock_.at + transport::Duration(ms);
+    for (auto next = deadlines_.next(); next && *next <= until; next = deadlines_.next()) {
+      clock_.at = std::max(clock_.at, *next);
+      deadlines_.sweep(clock_.at);
+    }
+    clock_.at = until;
+  }
+
+  void open(const std::string& name) {
+    auto ref = network_.add({name, "", "", &app_->acceptor()});
+    app_->acceptor().on_accepted(ref);
+  }
+
+  void meet(const std::string& name, const std::string& address, const std::string& how) {
+    for (auto& [ref, end] : network_.ends) {
+      if (!end.name.empty() || end.address != address) continue;
+      end.name = name;
+      if (how == "connects") return end.handler->on_connected(ref);
+      if (how == "opens") return end.sent.clear();
+      end.sent.clear(), end.closed = true;
+      return end.handler->on_closed(ref, false);
+    }
+    throw Mismatch("no connection was opened to " + address);
+  }
+
+  void speak(const std::string& name, const std::string& verb, std::string text) {
+    for (auto& [ref, end] : network_.ends) {
+      if (end.name != name) continue;
+      // a body with the length that belongs to it
+      if (verb == "<=" || verb == ">=")
+        text = "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+      if (verb == "<" || verb == "<|" || verb == "<=") {
+        if (verb == "<") text += "\r\n";
+        need(end.sent.starts_with(text), "it got:\n" + end.sent.substr(0, 400));
+        end.sent.erase(0, text.size());
+      } else if (verb == ">" || verb == ">|" || verb == ">=") {
+        need(!end.closed && !end.finished, "the program has closed it");
+        end.handler->on_bytes(ref, verb == ">" ? text + "\r\n" : text);
+      } else if (verb == "breaks" || verb == "cut") {  // cut: before all bytes were written
+        if (verb == "cut") end.sent.clear();
+        end.closed = true;
+        end.handler->on_closed(ref, verb == "breaks");
+      } else if (verb == "closed") {
+        need(end.closed, "it is open");
+      } else if (verb == "finished") {
+        need(end.finished, "it is open");
+      } else if (verb == "open") {
+        need(!end.closed && !end.finished, "it is closed");
+      } else if (verb == "silent") {
+        need(end.sent.empty() && !end.closed && !end.finished, "it got:\n" + end.sent.substr(0, 400));
+      } else {
+        throw Mismatch("the file has an unknown word");
+      }
+      return;
+    }
+    throw Mismatch("the file has not opened a connection of this name");
+  }
+
+  std::string folder_;
+  Json::Value config_json_;
+  ManualClock clock_;
+  transport::Deadlines deadlines_;
+  PlayedNetwork network_;
+  std::string log_text_;
+  program::Log log_{clock_, [this](const std::string& line) { log_text_ += line + '\n'; }};
+  program::Config config_;
+  std::optional<program::App> app_;
+};
+
+}  // namespace oatledge::testing
--- /dev/null
+++ b/tests/net/program_process.sh
@@ -0,0 +1,26 @@
+#!/bin/sh
+# The dispatcher as a process: one line and exit code 1 on a bad configuration, exit code 0 after SIGTERM.
+set -u
+program=$1 config=$2 log=$(mktemp)
+trap 'rm -f "$log"' EXIT
+fail() { echo "program_process: $1" >&2; cat "$log" >&2; exit 1; }
+
+unset ROUTER_CONFIG ROUTER_NAME ROUTER_LISTEN ROUTER_DISCOVERY
+"$program" 2>"$log" && fail "no configuration was accepted"
+ROUTER_CONFIG=/nowhere "$program" 2>>"$log" && fail "a missing file was accepted"
+ROUTER_CONFIG=$0 "$program" 2>>"$log" && fail "a file that is no JSON was accepted"
+[ "$(wc -l <"$log")" -eq 3 ] || fail "a bad configuration is not one line each"
+
+# An address of the loopback that parallel runs do not share; discovery is not there, and the program serves all the same.
+listen=127.$(($$ % 250 + 1)).$(($$ / 250 % 250)).8:47011
+ROUTER_CONFIG=$config ROUTER_LISTEN=$listen ROUTER_DISCOVERY=127.0.0.1:1 "$program" 2>"$log" &
+pid=$!
+until grep -q '^names: ' "$log"; do  # its first call to discovery has failed: the loop is turning
+  kill -0 "$pid" 2>/dev/null || fail "it ended by itself"
+  sleep 0.05
+done
+grep -q '^start: toy listens on '"$listen" "$log" || fail "it does not say where it listens"
+kill -TERM "$pid"
+wait "$pid" || fail "it did not end well after SIGTERM"
+grep -q '^stop: ended' "$log" || fail "it does not say that it ended"
+exit 0
--- /dev/null
+++ b/tests/net/sockets_test.cpp
@@ -0,0 +1,110 @@
+// GioNetwork on real sockets of the loopback. Nothing here depends on how long a turn takes.
+#include <sys/resource.h>
+#include <unistd.h>
+#include <catch2/catch.hpp>
+
+#include "../../src/transport/gio_network.h"
+#include "../../src/transport/loop.h"
+
+using namespace oatledge::transport;
+
+namespace {
+
+struct Peer : Acceptor {
+  std::vector<SlotRef> accepted;
+  std::string bytes;
+  int connected = 0, closed = 0, shed = 0;
+  bool all_written = false, can_shed = false;
+  GioNetwork* network = nullptr;
+  void on_accepted(SlotRef ref) override { accepted.push_back(ref); }
+  void on_connected(SlotRef) override { ++connected; }
+  void on_bytes(SlotRef, std::string_view more) override { bytes += more; }
+  void on_closed(SlotRef, bool written) override { ++closed, all_written = written; }
+  bool shed_idle() override {
+    if (!can_shed || accepted.empty()) return false;
+    ++shed;
+    network->close(accepted.front());
+    accepted.erase(accepted.begin());
+    return true;
+  }
+};
+
+struct Scene {
+  explicit Scene(GioNetwork::Limits limits = {8, 16})
+      : network(loop.context(), deadlines, clock, limits, [this](const std::string&) { ++complaints; }) {
+    server.network = client.network = &network;
+    network.listen(address, server);
+  }
+  template <class Done>
+  void until(Done done) {  // a test that hangs here is ended by the test runner
+    while (!done()) loop.turn();
+  }
+  // An address of the loopback that parallel runs do not share.
+  std::string address =
+      "127." + std::to_string(1 + getpid() % 250) + "." + std::to_string(getpid() / 250 % 250) + ".9:47010";
+  SteadyClock clock;
+  Deadlines deadlines;
+  Loop loop{deadlines, clock};
+  int complaints = 0;
+  Peer server, client;
+  GioNetwork network;
+};
+
+}  // namespace
+
+TEST_CASE("bytes both ways, and a close in good order after the last") {
+  Scene s;
+  auto ref = *s.network.connect(s.address, s.client, Urgency::Normal);
+  std::string much(120'000, 'x');
+  s.network.send(ref, "hello");  // before the connection is up
+  s.until([&] { return s.server.bytes == "hello"; });
+  CHECK(s.client.connected == 1);
+  s.network.send(s.server.accepted[0], much);
+  s.network.finish(s.server.accepted[0]);
+  s.until([&] { return s.client.closed == 1; });
+  CHECK(s.client.bytes.size() == much.size());
+  CHECK(s.client.all_written);
+  CHECK(s.server.closed == 0);  // its own close is not told
+}
+
+TEST_CASE("a refused connection is told later, as not written") {
+  Scene s;
+  REQUIRE(s.network.connect("127.0.0.1:1", s.client, Urgency::Normal));
+  CHECK(s.client.closed == 0);
+  s.until([&] { return s.client.closed == 1; });
+  CHECK_FALSE(s.client.all_written);
+  CHECK_FALSE(s.network.connect("nowhere", s.client, Urgency::Normal));
+}
+
+// Guards the descriptors of the instances' side: past the limit an idle client goes, else the newcomer waits.
+TEST_CASE("a crowd sheds its idle connections and leaves the others their descriptors") {
+  Scene s({2, 16});
+  s.server.can_shed = true;
+  for (int i = 0; i < 3; ++i) REQUIRE(s.network.connect(s.address, s.client, Urgency::Normal));
+  s.until([&] { return s.server.shed == 1 && s.server.accepted.size() == 2 && s.client.closed == 1; });
+  s.server.can_shed = false;
+  auto fourth = *s.network.connect(s.address, s.client, Urgency::Normal);
+  s.network.send(fourth, "late");
+  s.until([&] { return s.client.connected == 4; });  // in the listen queue
+  CHECK(s.server.accepted.size() == 2);
+  s.network.close(s.server.accepted[0]);
+  s.until([&] { return s.server.bytes == "late"; });
+}
+
+// Guards against EMFILE: said once in a while instead of spinning, and over when a descriptor is free again.
+TEST_CASE("running out of descriptors is survived") {
+  Scene s;
+  rlimit before{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+  auto first = *s.network.connect(s.address, s.client, Urgency::Normal);
+  s.network.send(first, "a");
+  int next = dup(0);
+  REQUIRE(next >= 0);
+  close(next);
+  rlimit none{static_cast<rlim_t>(next), before.rlim_max};
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &none) == 0);
+  s.until([&] { return s.complaints >= 2; });
+  CHECK_FALSE(s.network.connect(s.address, s.client, Urgency::Normal));
+  setrlimit(RLIMIT_NOFILE, &before);
+  s.until([&] { return s.server.bytes == "a"; });
+}
