--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -61,9 +61,9 @@
       deadlines_(deadlines),
       clock_(clock),
       log_(log),
-      front_(network, deadlines, clock, config.words, log),
-      instances_(network, deadlines, clock, config.words, instance_times(config), log),
-      names_(network, deadlines, clock, config.words, name_options(config), log),
+      front_({network, deadlines, clock, config.words, log}),
+      instances_({network, deadlines, clock, config.words, log}, instance_times(config)),
+      names_({network, deadlines, clock, config.words, log}, name_options(config)),
       router_(config.settings, share_descriptors(config).commands, clock, deadlines,
               {front_, instances_, names_}, [&log](const std::string& text) { log.line("module", text); }) {
   front_.attach(router_);
--- a/src/program/app.h
+++ b/src/program/app.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config.h"
+#include "http_instances.h"
 #include "http_names.h"
 
 namespace oatledge::program {
--- a/src/program/http_front.cpp
+++ b/src/program/http_front.cpp
@@ -25,7 +25,7 @@
   // Guards memory: a client may send ahead while its command runs, but no more than one message of it is
   // kept.
   if (s.command && s.parser.buffered() > protocol::kMostHead + protocol::kMostBody) {
-    network_.close(at);
+    on_.network.close(at);
     return on_closed(at, true);
   }
   work(at);
@@ -44,17 +44,17 @@
       return reject(at, e.status, e.what());
     }
     if (message) {
-      deadlines_.drop(s.slow);
+      on_.deadlines.drop(s.slow);
       s.keep_alive = message->keep_alive, s.used = true;
       if (s.idle_since != 0) idle_.erase(std::exchange(s.idle_since, 0));
       handle(at, std::move(*message));
       continue;
     }
     if (s.parser.idle()) return note_idle(at, s);
-    if (s.parser.take_continue()) network_.send(at, protocol::write_response(100, {}, {}, true));
+    if (s.parser.take_continue()) on_.network.send(at, protocol::write_response(100, {}, {}, true));
     if (s.idle_since != 0) idle_.erase(std::exchange(s.idle_since, 0));
     if (s.slow.order == 0)  // guards the table against clients that send a byte now and then
-      s.slow = deadlines_.add(clock_.now() + kSlowest, [this, at] {
+      s.slow = on_.deadlines.add(on_.clock.now() + kSlowest, [this, at] {
         auto slow = sessions_.find(at);
         if (slow == sessions_.end()) return;
         slow->second.slow = {}, slow->second.keep_alive = false;
@@ -82,7 +82,7 @@
 void HttpFront::take_command(SlotRef at, Message m) {
   protocol::ClientCommand command;
   try {
-    command = protocol::read_command(std::move(m), words_);
+    command = protocol::read_command(std::move(m), on_.words);
   } catch (const protocol::Refused& e) {
     return reject(at, 400, e.what());
   }
@@ -95,7 +95,7 @@
   using Taking = routing::Router::Taking;
   // Never reached the module, so nothing of it can have run: trying again is harmless.
   if (taken == Taking::Full) {
-    log_.line("full", "the command table is full; a command was refused");
+    on_.log.line("full", "the command table is full; a command was refused");
     respond(at, 503, {}, "too many commands are open");
   } else if (taken == Taking::Duplicate) {
     reject(at, 409, "a command with this X-Correlation-Id is open");
@@ -105,7 +105,7 @@
 void HttpFront::take_news(SlotRef at, const Message& m) {
   protocol::News n;
   try {
-    n = protocol::read_news(m.body, words_);
+    n = protocol::read_news(m.body, on_.words);
   } catch (const protocol::Refused& e) {
     return reject(at, 400, std::string("call-back: ") + e.what());
   }
@@ -126,14 +126,14 @@
   auto it = sessions_.find(at);
   if (it == sessions_.end()) return;
   bool keep = it->second.keep_alive && !draining_;
-  network_.send(at, protocol::write_response(status, headers, body, keep));
+  on_.network.send(at, protocol::write_response(status, headers, body, keep));
   if (keep) return;
   forget(at);
-  network_.finish(at);
+  on_.network.finish(at);
 }
 
 void HttpFront::reject(SlotRef at, int status, const std::string& why) {
-  log_.line("client", std::to_string(status) + ": " + why);
+  on_.log.line("client", std::to_string(status) + ": " + why);
   respond(at, status, kText, why);
 }
 
@@ -177,7 +177,7 @@
 void HttpFront::forget(SlotRef at) {
   auto it = sessions_.find(at);
   if (it->second.idle_since != 0) idle_.erase(it->second.idle_since);
-  deadlines_.drop(it->second.slow);
+  on_.deadlines.drop(it->second.slow);
   sessions_.erase(it);
 }
 
@@ -190,20 +190,20 @@
 bool HttpFront::shed_idle() {
   if (idle_.empty()) return false;
   SlotRef at = idle_.begin()->second;
-  log_.line("shed", "an idle client connection was closed to make room");
+  on_.log.line("shed", "an idle client connection was closed to make room");
   forget(at);
-  network_.close(at);
+  on_.network.close(at);
   return true;
 }
 
 void HttpFront::start_draining() {
   draining_ = true;
   for (auto [order, at] : std::map(idle_))
-    if (sessions_.at(at).used) forget(at), network_.finish(at);
+    if (sessions_.at(at).used) forget(at), on_.network.finish(at);
 }
 
 void HttpFront::close_idle() {
-  for (auto [order, at] : std::map(idle_)) forget(at), network_.finish(at);
+  for (auto [order, at] : std::map(idle_)) forget(at), on_.network.finish(at);
 }
 
 }  // namespace oatledge::program
--- a/src/program/http_front.h
+++ b/src/program/http_front.h
@@ -4,10 +4,8 @@
 
 #include <map>
 
-#include "../protocol/messages.h"
 #include "../routing/router.h"
-#include "../transport/network.h"
-#include "log.h"
+#include "platform.h"
 
 namespace oatledge::program {
 
@@ -18,9 +16,7 @@
 
 class HttpFront final : public transport::Acceptor, public routing::ClientSide {
  public:
-  HttpFront(transport::Network& network, transport::Deadlines& deadlines, const transport::Clock& clock,
-            const protocol::Vocabulary& words, Log& log)
-      : network_(network), deadlines_(deadlines), clock_(clock), words_(words), log_(log) {}
+  explicit HttpFront(Platform on) : on_(on) {}
 
   void attach(routing::Router& router) { router_ = &router; }
   void set_ready() { ready_ = true; }
@@ -58,11 +54,7 @@
   void note_idle(transport::SlotRef connection, Session& s);
   void forget(transport::SlotRef connection);
 
-  transport::Network& network_;
-  transport::Deadlines& deadlines_;
-  const transport::Clock& clock_;
-  const protocol::Vocabulary& words_;
-  Log& log_;
+  Platform on_;
   routing::Router* router_ = nullptr;
   bool ready_ = false, draining_ = false;
   std::map<transport::SlotRef, Session> sessions_;
--- a/src/program/http_instances.cpp
+++ b/src/program/http_instances.cpp
@@ -61,7 +61,7 @@
   if (!a) return;
   if (a->connection) {
     drop_call(*a->connection);
-    network_.close(*a->connection);
+    on_.network.close(*a->connection);
     return;
   }
   auto it = instances_.find(a->instance);
@@ -78,8 +78,8 @@
   // It gets an end of its own now: an instance that never answers must not keep the descriptor.
   Call& c = calls_.at(*a->connection);
   c.attempt.reset();
-  c.answer =
-      deadlines_.add(clock_.now() + times_.probe, [this, r = *a->connection] { end(r, Outcome::TimedOut); });
+  c.answer = on_.deadlines.add(on_.clock.now() + times_.probe,
+                               [this, r = *a->connection] { end(r, Outcome::TimedOut); });
 }
 
 std::optional<HttpInstances::Active> HttpInstances::release(AttemptRef attempt) {
@@ -96,35 +96,36 @@
   std::optional<SlotRef> at;
   bool fresh = i.idle.empty();
   if (fresh) {
-    at = network_.connect(i.address, *this, transport::Urgency::Normal);
+    at = on_.network.connect(i.address, *this, transport::Urgency::Normal);
     if (!at) {
-      log_.line("instance", c.instance + ": no connection to be had to " + i.address);
+      on_.log.line("instance", c.instance + ": no connection to be had to " + i.address);
       return false;
     }
-    c.connect =
-        deadlines_.add(clock_.now() + times_.connect, [this, r = *at] { end(r, Outcome::Unreachable); });
+    c.connect = on_.deadlines.add(on_.clock.now() + times_.connect,
+                                  [this, r = *at] { end(r, Outcome::Unreachable); });
   } else {
     at = i.idle.back().connection;
     take_from_pool(*at);
   }
   // An attempt waits as long as the module lets it; the other calls are ours to end.
   if (c.kind != Kind::Submit)
-    c.answer = deadlines_.add(clock_.now() + times_.probe, [this, r = *at] { end(r, Outcome::TimedOut); });
+    c.answer =
+        on_.deadlines.add(on_.clock.now() + times_.probe, [this, r = *at] { end(r, Outcome::TimedOut); });
   if (c.attempt) active_.at(*c.attempt).connection = at;
   calls_.emplace(*at, std::move(c));
-  network_.send(*at, bytes);
+  on_.network.send(*at, bytes);
   return true;
 }
 
 void HttpInstances::on_connected(SlotRef at) {
-  if (auto it = calls_.find(at); it != calls_.end()) deadlines_.drop(it->second.connect);
+  if (auto it = calls_.find(at); it != calls_.end()) on_.deadlines.drop(it->second.connect);
 }
 
 void HttpInstances::on_bytes(SlotRef at, std::string_view bytes) {
   auto it = calls_.find(at);
   if (it == calls_.end()) {  // nothing was asked: whatever this answers, it is not our next call
     take_from_pool(at);
-    network_.close(at);
+    on_.network.close(at);
     return;
   }
   it->second.parser.feed(bytes);
@@ -132,7 +133,7 @@
     while (std::optional<Message> m = it->second.parser.next())
       if (m->status / 100 != 1) return on_message(at, *m);
   } catch (const protocol::HttpError& e) {
-    log_.line("instance", it->second.instance + ": malformed answer: " + e.what());
+    on_.log.line("instance", it->second.instance + ": malformed answer: " + e.what());
     end(at, Outcome::Failure);
   }
 }
@@ -142,11 +143,11 @@
   drop_call(at);
   keep_or_close(at, c.instance, m.keep_alive && c.parser.idle());
   if (c.kind == Kind::Probe) {
-    auto answer = protocol::read_probe_answer(m, words_);
+    auto answer = protocol::read_probe_answer(m, on_.words);
     return router_->probe_ended(c.instance, *answer.end, answer.report);
   }
   if (!c.attempt) return;
-  auto answer = protocol::read_submit_answer(m, words_);
+  auto answer = protocol::read_submit_answer(m, on_.words);
   if (!answer.end) {
     active_.at(*c.attempt).connection.reset();  // taken: its call-backs tell the rest
     return;
@@ -171,7 +172,7 @@
   if (it == calls_.end()) return;
   Call c = std::move(it->second);
   drop_call(at);
-  network_.close(at);
+  on_.network.close(at);
   report_end(c, outcome, {});
 }
 
@@ -185,8 +186,8 @@
 void HttpInstances::drop_call(SlotRef at) {
   auto it = calls_.find(at);
   if (it == calls_.end()) return;
-  deadlines_.drop(it->second.connect);
-  deadlines_.drop(it->second.answer);
+  on_.deadlines.drop(it->second.connect);
+  on_.deadlines.drop(it->second.answer);
   calls_.erase(it);
 }
 
@@ -195,12 +196,12 @@
 void HttpInstances::keep_or_close(SlotRef at, const std::string& instance, bool keep) {
   auto it = instances_.find(instance);
   if (!keep || it == instances_.end() || it->second.gone || it->second.idle.size() >= kMostIdle) {
-    network_.close(at);
+    on_.network.close(at);
     return;
   }
-  auto retire = deadlines_.add(clock_.now() + times_.idle, [this, at] {
+  auto retire = on_.deadlines.add(on_.clock.now() + times_.idle, [this, at] {
     take_from_pool(at);
-    network_.close(at);
+    on_.network.close(at);
   });
   it->second.idle.push_back({at, retire});
   pooled_[at] = instance;
@@ -211,16 +212,16 @@
   if (it == pooled_.end()) return;
   auto& idle = instances_.at(it->second).idle;
   auto found = std::ranges::find(idle, at, &Idle::connection);
-  deadlines_.drop(found->retire);
+  on_.deadlines.drop(found->retire);
   idle.erase(found);
   pooled_.erase(it);
 }
 
 void HttpInstances::close_pool(Instance& i) {
   for (Idle& idle : i.idle) {
-    deadlines_.drop(idle.retire);
+    on_.deadlines.drop(idle.retire);
     pooled_.erase(idle.connection);
-    network_.close(idle.connection);
+    on_.network.close(idle.connection);
   }
   i.idle.clear();
 }
--- a/src/program/http_instances.h
+++ b/src/program/http_instances.h
@@ -17,9 +17,7 @@
     transport::Duration probe{2000};
     bool reports = false;  // probes ask for the load
   };
-  HttpInstances(transport::Network& network, transport::Deadlines& deadlines, const transport::Clock& clock,
-                const protocol::Vocabulary& words, Times times, Log& log)
-      : network_(network), deadlines_(deadlines), clock_(clock), words_(words), times_(times), log_(log) {}
+  HttpInstances(Platform on, Times times) : on_(on), times_(times) {}
 
   void attach(routing::Router& router) { router_ = &router; }
   void update(const protocol::NameList& list);  // where the instances are; before the module hears of them
@@ -68,12 +66,8 @@
   void close_pool(Instance& instance);
   std::optional<Active> release(routing::AttemptRef attempt);
 
-  transport::Network& network_;
-  transport::Deadlines& deadlines_;
-  const transport::Clock& clock_;
-  const protocol::Vocabulary& words_;
+  Platform on_;
   Times times_;
-  Log& log_;
   routing::Router* router_ = nullptr;
   std::unordered_map<std::string, Instance> instances_;
   std::map<transport::SlotRef, Call> calls_;
--- a/src/program/http_names.cpp
+++ b/src/program/http_names.cpp
@@ -20,18 +20,18 @@
 
 void HttpNames::ask() {
   if (!connection_) {
-    connection_ = network_.connect(options_.address, *this, transport::Urgency::High);
+    connection_ = on_.network.connect(options_.address, *this, transport::Urgency::High);
     parser_ = protocol::Parser(protocol::Parser::Kind::Response, kMostList);
   }
   if (!connection_) {  // told in the next turn: this may be inside an action of the module
     asking_ = true;
-    late_ = deadlines_.add(clock_.now(), [this] { fail("no connection to be had"); });
+    late_ = on_.deadlines.add(on_.clock.now(), [this] { fail("no connection to be had"); });
     return;
   }
   asking_ = true;
   transport::Duration longest = revision_ ? options_.wait + kGrace : kWhole;
-  late_ = deadlines_.add(clock_.now() + longest, [this] { fail("no answer in time"); });
-  network_.send(*connection_, protocol::write_watch(revision_, options_.wait, options_.address));
+  late_ = on_.deadlines.add(on_.clock.now() + longest, [this] { fail("no answer in time"); });
+  on_.network.send(*connection_, protocol::write_watch(revision_, options_.wait, options_.address));
 }
 
 void HttpNames::on_bytes(transport::SlotRef at, std::string_view bytes) {
@@ -50,12 +50,12 @@
   if (m.status != 200) return fail("answered " + std::to_string(m.status));
   protocol::NameList list;
   try {
-    list = protocol::read_names(protocol::parse_json(m.body), words_);
+    list = protocol::read_names(protocol::parse_json(m.body), on_.words);
   } catch (const protocol::Refused& e) {
     return fail(std::string("malformed list: ") + e.what());
   }
   if (!revision_ && !list.whole) return fail("changes came where the whole list was asked for");
-  deadlines_.drop(late_);
+  on_.deadlines.drop(late_);
   asking_ = false;
   revision_ = list.revision;
   if (!m.keep_alive || !parser_.idle()) hang_up();
@@ -63,24 +63,24 @@
   changed_(list.whole ? stagehinge::ListKind::Complete : stagehinge::ListKind::Partial, list);
 }
 
-void HttpNames::on_closed(transport::SlotRef at, bool) {
+void HttpNames::on_closed(transport::SlotRef at, bool all_written) {
   if (at != connection_) return;
   connection_.reset();
   if (auto last = parser_.at_end()) return answered(*last);
-  if (asking_) fail("the connection ended");
+  if (asking_) fail(all_written ? "the connection ended" : "no connection to " + options_.address);
 }
 
 void HttpNames::fail(const std::string& why) {
-  log_.line("names", "a call to discovery failed: " + why);
+  on_.log.line("names", "a call to discovery failed: " + why);
   hang_up();
   asking_ = false;
-  if (options_.retries) late_ = deadlines_.add(clock_.now() + kAgain, [this] { watch(); });
+  if (options_.retries) late_ = on_.deadlines.add(on_.clock.now() + kAgain, [this] { watch(); });
   changed_(stagehinge::ListKind::Error, {});
 }
 
 void HttpNames::hang_up() {
-  deadlines_.drop(late_);
-  if (connection_) network_.close(*connection_);
+  on_.deadlines.drop(late_);
+  if (connection_) on_.network.close(*connection_);
   connection_.reset();
 }
 
--- a/src/program/http_names.h
+++ b/src/program/http_names.h
@@ -1,7 +1,8 @@
 // The name table over HTTP: one watch on discovery, each call following the last answer at once.
 #pragma once
 
-#include "http_instances.h"
+#include "../routing/ports.h"
+#include "platform.h"
 
 namespace oatledge::program {
 
@@ -12,14 +13,7 @@
     transport::Duration wait{20'000};  // of a watch call
     bool retries = false;              // nobody above asks again: watch() is repeated here
   };
-  HttpNames(transport::Network& network, transport::Deadlines& deadlines, const transport::Clock& clock,
-            const protocol::Vocabulary& words, Options options, Log& log)
-      : network_(network),
-        deadlines_(deadlines),
-        clock_(clock),
-        words_(words),
-        options_(options),
-        log_(log) {}
+  HttpNames(Platform on, Options options) : on_(on), options_(std::move(options)) {}
 
   using Changed = std::function<void(stagehinge::ListKind, const protocol::NameList&)>;
   void attach(Changed changed) { changed_ = std::move(changed); }
@@ -35,12 +29,8 @@
   void fail(const std::string& why);
   void hang_up();
 
-  transport::Network& network_;
-  transport::Deadlines& deadlines_;
-  const transport::Clock& clock_;
-  const protocol::Vocabulary& words_;
+  Platform on_;
   Options options_;
-  Log& log_;
   Changed changed_;
   std::optional<transport::SlotRef> connection_;
   protocol::Parser parser_{protocol::Parser::Kind::Response};
--- /dev/null
+++ b/src/program/platform.h
@@ -0,0 +1,19 @@
+// What every side of the program stands on.
+#pragma once
+
+#include "../protocol/messages.h"
+#include "../transport/deadlines.h"
+#include "../transport/network.h"
+#include "log.h"
+
+namespace oatledge::program {
+
+struct Platform {
+  transport::Network& network;
+  transport::Deadlines& deadlines;
+  const transport::Clock& clock;
+  const protocol::Vocabulary& words;
+  Log& log;
+};
+
+}  // namespace oatledge::program
