Drop pooled connections to instances that are silent or have restarted

A new connection fails, and that is a proof. end() now empties the pool when a connect, probe or withdrawal gets no answer, and update() when the name table tells of a new start. Ruled out: a new connection for each attempt; it costs the instance a handshake each and the module's probes already look at silent instances.

--- a/src/program/http_instances.cpp
+++ b/src/program/http_instances.cpp
@@ -21,10 +21,11 @@
   for (const protocol::Listed& l : list.entries) {
     Instance& i = instances_[l.uid];
     i.gone = l.entry.readiness == stagehinge::Readiness::Gone;
-    if (!l.address.empty() && l.address != i.address) {
-      close_pool(i);
-      i.address = l.address;
-    }
+    // Connections to a process that has been replaced are dead, even where its machine never said so.
+    bool moved = !l.address.empty() && l.address != i.address;
+    if (moved || l.entry.online_since != i.online_since) close_pool(i);
+    if (moved) i.address = l.address;
+    i.online_since = l.entry.online_since;
   }
   for (auto it = instances_.begin(); it != instances_.end();) {
     if (it->second.gone) close_pool(it->second);
@@ -173,6 +174,10 @@
   Call c = std::move(it->second);
   drop_call(at);
   on_.network.close(at);
+  // Guards jobs that must not run twice: a machine that says nothing may have vanished, and what is written
+  // to its open connections is lost without a proof. A new connection to it fails, and that is one.
+  bool silent = outcome == Outcome::TimedOut || outcome == Outcome::Unreachable;
+  if (auto i = instances_.find(c.instance); silent && i != instances_.end()) close_pool(i->second);
   report_end(c, outcome, {});
 }
 
--- a/src/program/http_instances.h
+++ b/src/program/http_instances.h
@@ -39,6 +39,7 @@
   };
   struct Instance {
     std::string address;
+    std::optional<stagehinge::Time> online_since;
     bool gone = false;
     std::size_t attempts = 0;  // active ones: they may still have to be withdrawn there
     std::vector<Idle> idle;    // the latest used last
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -25,6 +25,16 @@
   return s;
 }
 
+bool lists(std::string_view value, std::string_view word) {  // "a, word, b"
+  for (bool more = true; more;) {
+    std::size_t comma = value.find(',');
+    if (same_name(trim(value.substr(0, comma)), word)) return true;
+    more = comma != std::string_view::npos;
+    if (more) value.remove_prefix(comma + 1);
+  }
+  return false;
+}
+
 std::optional<std::size_t> whole_number(std::string_view s, int base) {
   std::size_t value = 0;
   auto [end, error] = std::from_chars(s.data(), s.data() + s.size(), value, base);
@@ -145,9 +155,8 @@
 }
 
 void Parser::framing() {
-  std::string_view connection = message_.header("Connection");
-  if (same_name(connection, "close")) message_.keep_alive = false;
-  if (same_name(connection, "keep-alive")) message_.keep_alive = true;
+  if (lists(message_.header("Connection"), "keep-alive")) message_.keep_alive = true;
+  if (lists(message_.header("Connection"), "close")) message_.keep_alive = false;
   std::optional<std::size_t> length;
   bool chunked = false;
   for (const auto& [name, value] : message_.headers) {
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -68,6 +68,17 @@
   CHECK(status_of("GET / HTTP/1.1\r\n\r\n") == 0);
 }
 
+TEST_CASE("Connection is a list of words") {
+  for (const char* value : {"close", "TE, Close", "close ,x"}) {
+    Parser p(Parser::Kind::Request);
+    p.feed("GET / HTTP/1.1\r\nConnection: " + std::string(value) + "\r\n\r\n");
+    CHECK_FALSE(p.next()->keep_alive);
+  }
+  Parser p(Parser::Kind::Request);
+  p.feed("GET / HTTP/1.0\r\nConnection: x, keep-alive\r\n\r\n");
+  CHECK(p.next()->keep_alive);
+}
+
 TEST_CASE("a response without a length ends with its connection") {
   Parser p(Parser::Kind::Response);
   p.feed("HTTP/1.1 200 OK\r\n\r\nall of");
