Share out descriptors by what clients need; bound connections by memory too

Lines at fault: share_descriptors() in app.cpp, 5/8 for clients and 4/5 of that for commands. Now 3/4, 3/16 and 9/10; clients are also bounded by limits.memory_mb, at a quarter of a megabyte a connection. The wake-up source's function table is a member of Loop: it was a global.

--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -8,6 +8,9 @@
 using stagehinge::Duration;
 using stagehinge::ListKind;
 
+// A client's connection holds a message being read, one being answered and its command: a quarter of a
+// megabyte at most.
+constexpr std::size_t kConnectionsAMegabyte = 4;
 constexpr Duration kStillComing{500};  // new connections may come for this long after SIGTERM
 constexpr Duration kDrainStep{20};
 constexpr Duration kLongestCounted{
@@ -47,10 +50,12 @@
 
 }  // namespace
 
-// Clients get the larger part, yet never what instances and discovery need; of the commands fewer than of the
-// connections, so that call-backs always find one.
+// Clients get the larger part, yet never what instances and discovery need, nor more connections than could
+// all be full at once in the memory there is. Of the commands there are fewer, so that call-backs always find
+// a connection.
 Shares share_descriptors(const Config& c) {
-  Shares s{c.sockets * 5 / 8, c.sockets / 4, c.sockets / 2};
+  Shares s{std::min(c.sockets * 3 / 4, c.memory_mb * kConnectionsAMegabyte), c.sockets * 3 / 16, 0};
+  s.commands = s.accepted * 9 / 10;
   if (c.most_open > 0) s.commands = std::min(s.commands, c.most_open);
   return s;
 }
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -78,7 +78,9 @@
   c.discovery = either("ROUTER_DISCOVERY", "discovery");
   const Json::Value& limits = all["limits"];
   if (limits.isObject() && limits["sockets"].isUInt()) c.sockets = limits["sockets"].asUInt();
+  if (limits.isObject() && limits["memory_mb"].isUInt()) c.memory_mb = limits["memory_mb"].asUInt();
   if (c.sockets < 64) throw std::runtime_error("fewer than 64 sockets are too few to work with");
+  if (c.memory_mb < 16) throw std::runtime_error("less than 16 MB of memory are too few to work with");
 
   const Json::Value& s = all["settings"];
   std::map<std::string, std::string> pairs;
--- a/src/program/config.h
+++ b/src/program/config.h
@@ -11,7 +11,7 @@
 
 struct Config {
   std::string name, listen, discovery;
-  std::size_t sockets = 1024;
+  std::size_t sockets = 1024, memory_mb = 192;
   std::size_t most_open = 0;  // commands; 0: the settings name no limit
   stagehinge::Duration conn_idle{0};
   stagehinge::Settings settings;
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -7,9 +7,11 @@
 
 gboolean woken(gpointer) { return G_SOURCE_CONTINUE; }
 
-GSourceFuncs wake_functions = {
-    nullptr, nullptr, [](GSource*, GSourceFunc callback, gpointer data) { return callback(data); },
-    nullptr, nullptr, nullptr};
+GSourceFuncs wake_functions() {
+  GSourceFuncs functions{};
+  functions.dispatch = [](GSource*, GSourceFunc callback, gpointer data) { return callback(data); };
+  return functions;
+}
 
 }  // namespace
 
@@ -17,7 +19,8 @@
     : deadlines_(deadlines),
       clock_(clock),
       context_(g_main_context_new()),
-      wake_(g_source_new(&wake_functions, sizeof(GSource))) {
+      wake_functions_(wake_functions()),
+      wake_(g_source_new(&wake_functions_, sizeof(GSource))) {
   g_source_set_callback(wake_.get(), woken, nullptr, nullptr);
   // Behind the sockets, so that what they hold is served before the deadlines of the same turn.
   g_source_set_priority(wake_.get(), G_PRIORITY_DEFAULT_IDLE);
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -16,6 +16,7 @@
   Deadlines& deadlines_;
   const Clock& clock_;
   ContextPtr context_;
+  GSourceFuncs wake_functions_;  // GLib keeps a pointer to it: before the source, so that it outlives it
   SourcePtr wake_;  // the one timed source: it only ends the wait when the earliest deadline comes
 };
 
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -118,6 +118,19 @@
   }
 }
 
+// Guards against death by memory or descriptors: what clients may take leaves room for the rest.
+TEST_CASE("descriptors are shared out within the limits") {
+  program::Config c = config();
+  program::Shares s = program::share_descriptors(c);
+  CHECK(s.accepted + s.connected < 1000);
+  CHECK(s.commands < s.accepted);
+  CHECK(s.connected >= 150);
+  c.memory_mb = 64;
+  CHECK(program::share_descriptors(c).accepted == 256);
+  c.most_open = 10;
+  CHECK(program::share_descriptors(c).commands == 10);
+}
+
 // The module takes a changed start for a restart: the same boot_ms must always give the same time.
 TEST_CASE("a wall-clock start becomes a steady one") {
   protocol::Vocabulary words = config().words;
