Reread the configuration on SIGHUP and move the watch on discovery at once

Checked: exit 129 is SIGHUP's default action; main.cpp installed SIGTERM and SIGINT only, and HttpNames kept the address it was built with. Ruled out: a fault in reading the new file, which was never read. At fault: main.cpp on_signal()'s two callers; HttpNames::Options::address, set once; read_config(), where ROUTER_DISCOVERY always won. Now the file is read whole and checked first, then discovery is taken over in one step; the old watch is closed and the whole list asked for at the new address at once, also during the pause after a failed call and while ending. A file that makes no sense is one log line. Fields that need a restart are named.

--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -60,16 +60,16 @@
   return s;
 }
 
-App::App(const Config& config, transport::Network& network, transport::Deadlines& deadlines,
+App::App(Config config, transport::Network& network, transport::Deadlines& deadlines,
          const transport::Clock& clock, Log& log)
-    : config_(config),
+    : config_(std::move(config)),
       deadlines_(deadlines),
       clock_(clock),
       log_(log),
-      front_({network, deadlines, clock, config.words, log}),
-      instances_({network, deadlines, clock, config.words, log}, instance_times(config)),
-      names_({network, deadlines, clock, config.words, log}, name_options(config)),
-      router_(config.settings, share_descriptors(config).commands, clock, deadlines,
+      front_({network, deadlines, clock, config_.words, log}),
+      instances_({network, deadlines, clock, config_.words, log}, instance_times(config_)),
+      names_({network, deadlines, clock, config_.words, log}, name_options(config_)),
+      router_(config_.settings, share_descriptors(config_).commands, clock, deadlines,
               {front_, instances_, names_}, [&log](const std::string& text) { log.line("module", text); }) {
   front_.attach(router_);
   instances_.attach(router_);
@@ -94,6 +94,24 @@
   router_.names_changed(kind, entries_of(list));
 }
 
+// Open commands, what the module has learned, and the name table stay: only where discovery is asked moves.
+// What the module and the tables were built with stays as it is until a restart.
+void App::reload(const Config& next) {
+  std::string kept;
+  for (const auto& [field, text] : next.fixed)
+    if (config_.fixed[field] != text) kept += (kept.empty() ? "" : ", ") + field;
+  bool moved = next.discovery != config_.discovery;
+  log_.line("reload", "configuration read; discovery " +
+                          (moved ? "moves to " + next.discovery : "stays at " + config_.discovery) +
+                          (kept.empty() ? "" : "; changed, but needs a restart: " + kept));
+  config_.discovery = next.discovery;
+  if (moved) names_.move(next.discovery);
+}
+
+void App::reload_failed(const std::string& why) {
+  log_.line("reload", "the old configuration is kept: " + why);
+}
+
 void App::terminate() {
   if (terminated_) return;
   terminated_ = clock_.now();
--- a/src/program/app.h
+++ b/src/program/app.h
@@ -14,11 +14,13 @@
 
 class App {
  public:
-  App(const Config& config, transport::Network& network, transport::Deadlines& deadlines,
+  App(Config config, transport::Network& network, transport::Deadlines& deadlines,
       const transport::Clock& clock, Log& log);
 
   transport::Acceptor& acceptor() { return front_; }
   void start();
+  void reload(const Config& next);             // SIGHUP
+  void reload_failed(const std::string& why);  // the same, where the file makes no sense
   void terminate();                            // SIGTERM
   bool finished() const { return finished_; }  // after terminate(): all that was taken is answered
 
@@ -26,7 +28,7 @@
   void names_changed(stagehinge::ListKind kind, const protocol::NameList& list);
   void drain();
 
-  const Config& config_;
+  Config config_;
   transport::Deadlines& deadlines_;
   const transport::Clock& clock_;
   Log& log_;
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -61,21 +61,22 @@
 
 }  // namespace
 
-Config read_config(std::string_view json, const Lookup& environment,
-                   stagehinge::Duration wall_to_steady) try {
+Config read_config(std::string_view json, const Lookup& environment, stagehinge::Duration wall_to_steady,
+                   Occasion occasion) try {
   Json::Value all = protocol::parse_json(json);
   if (!all.isObject() || !all["settings"].isObject()) throw std::runtime_error("it holds no settings");
   Config c;
-  auto either = [&](const char* variable, const char* field) {
+  auto either = [&](const char* variable, const char* field, bool file_first = false) {
     std::string value = environment(variable);
-    if (value.empty() && all[field].isString()) value = all[field].asString();
+    std::string filed = all[field].isString() ? all[field].asString() : std::string();
+    if (value.empty() || (file_first && !filed.empty())) value = filed;
     if (value.empty())
       throw std::runtime_error(std::string("neither ") + variable + " nor \"" + field + "\" is set");
     return value;
   };
   c.name = either("ROUTER_NAME", "name");
   c.listen = either("ROUTER_LISTEN", "listen");
-  c.discovery = either("ROUTER_DISCOVERY", "discovery");
+  c.discovery = either("ROUTER_DISCOVERY", "discovery", occasion == Occasion::Reload);
   const Json::Value& limits = all["limits"];
   if (limits.isObject() && limits["sockets"].isUInt()) c.sockets = limits["sockets"].asUInt();
   if (limits.isObject() && limits["memory_mb"].isUInt()) c.memory_mb = limits["memory_mb"].asUInt();
@@ -96,6 +97,10 @@
   c.words.zones = names(s["Localities"]), c.words.kinds = names(s["Skus"]);
   for (const auto& k : c.settings.classes) c.words.keyed.push_back(k.effect == stagehinge::Effect::Keyed);
   c.words.wall_to_steady = wall_to_steady;
+  c.fixed = {{"name", c.name},
+             {"listen", c.listen},
+             {"limits", limits.toStyledString()},
+             {"settings", s.toStyledString()}};
   if (all["known"].isObject() && !all["known"].empty()) c.known = protocol::read_names(all["known"], c.words);
   return c;
 } catch (const std::exception& e) {  // jsoncpp's and the reader's errors among them
--- a/src/program/config.h
+++ b/src/program/config.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -17,11 +18,18 @@
   stagehinge::Settings settings;
   protocol::Vocabulary words;
   std::optional<protocol::NameList> known;
+  // What a running program cannot take over, as written: a reload that changes one of these says so.
+  std::map<std::string, std::string> fixed;
 };
 
 using Lookup = std::function<std::string(const char* variable)>;  // empty when unset
 
+// At the start the environment goes before the file; at a reload the file's `discovery` goes before the
+// environment, which cannot have changed since.
+enum class Occasion { Start, Reload };
+
 // Throws std::runtime_error with one line that names what is wrong.
-Config read_config(std::string_view json, const Lookup& environment, stagehinge::Duration wall_to_steady);
+Config read_config(std::string_view json, const Lookup& environment, stagehinge::Duration wall_to_steady,
+                   Occasion occasion = Occasion::Start);
 
 }  // namespace oatledge::program
--- a/src/program/http_names.cpp
+++ b/src/program/http_names.cpp
@@ -18,6 +18,16 @@
   ask();
 }
 
+// At once, and whether or not a call is out or a pause after a failed one runs: what the new address has to
+// tell counts as told soon. Its first whole list replaces what the old one told, as after any break.
+void HttpNames::move(const std::string& address) {
+  if (address == options_.address) return;
+  options_.address = address;
+  hang_up();
+  asking_ = false;
+  watch();
+}
+
 void HttpNames::ask() {
   if (!connection_) {
     connection_ = on_.network.connect(options_.address, *this, transport::Urgency::High);
--- a/src/program/http_names.h
+++ b/src/program/http_names.h
@@ -19,6 +19,7 @@
   void attach(Changed changed) { changed_ = std::move(changed); }
 
   void watch() override;
+  void move(const std::string& address);  // from now on the watch is kept there
 
   void on_bytes(transport::SlotRef connection, std::string_view bytes) override;
   void on_closed(transport::SlotRef connection, bool all_written) override;
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -33,21 +33,26 @@
   return steady - transport::Duration(std::chrono::system_clock::now().time_since_epoch());
 }
 
-transport::SourcePtr on_signal(int number, program::App& app, GMainContext* context) {
+// `tell` must outlive the source.
+transport::SourcePtr on_signal(int number, std::function<void()>& tell, GMainContext* context) {
   transport::SourcePtr source(g_unix_signal_source_new(number));
-  GSourceFunc tell = [](gpointer data) -> gboolean {
-    static_cast<program::App*>(data)->terminate();
+  GSourceFunc call = [](gpointer data) -> gboolean {
+    (*static_cast<std::function<void()>*>(data))();
     return G_SOURCE_CONTINUE;
   };
-  g_source_set_callback(source.get(), tell, &app, nullptr);
+  g_source_set_callback(source.get(), call, &tell, nullptr);
   g_source_attach(source.get(), context);
   return source;
 }
 
 void run() {
   std::signal(SIGPIPE, SIG_IGN);
-  program::Config config =
-      program::read_config(read_file(environment("ROUTER_CONFIG")), environment, wall_to_steady());
+  std::signal(SIGHUP, SIG_IGN);  // one that comes before there is anything to reload must not end the program
+  const transport::Duration to_steady = wall_to_steady();
+  auto read = [&](program::Occasion occasion) {
+    return program::read_config(read_file(environment("ROUTER_CONFIG")), environment, to_steady, occasion);
+  };
+  program::Config config = read(program::Occasion::Start);
   transport::SteadyClock clock;
   transport::Deadlines deadlines;
   transport::Loop loop(deadlines, clock);
@@ -56,7 +61,18 @@
   transport::GioNetwork network(loop.context(), deadlines, clock, {shares.accepted, shares.connected},
                                 [&log](const std::string& text) { log.line("sockets", text); });
   program::App app(config, network, deadlines, clock, log);
-  auto term = on_signal(SIGTERM, app, loop.context()), interrupt = on_signal(SIGINT, app, loop.context());
+  std::function<void()> terminate = [&app] { app.terminate(); };
+  // Guards a serving program against a file that is half written or wrong: it goes on as it was.
+  std::function<void()> reload = [&] {
+    try {
+      app.reload(read(program::Occasion::Reload));
+    } catch (const std::exception& e) {
+      app.reload_failed(e.what());
+    }
+  };
+  auto term = on_signal(SIGTERM, terminate, loop.context());
+  auto interrupt = on_signal(SIGINT, terminate, loop.context());
+  auto hangup = on_signal(SIGHUP, reload, loop.context());
   app.start();
   network.listen(config.listen, app.acceptor());
   while (!app.finished()) loop.turn();
--- a/tests/net/player.h
+++ b/tests/net/player.h
@@ -93,11 +93,13 @@
     if (!rest.empty()) rest.erase(0, 1);
     if (first == "play") play(second);
     else if (first == "set") set(second, rest);
+    else if (first == "environment") environment_[second] = rest;
     else if (first == "start") start();
     else if (first == "wait") wait(std::stod(second));
     else if (first == "open") open(second);
     else if (first == "connects" || first == "refuses" || first == "opens") meet(second, rest, first);
     else if (first == "descriptors") network_.no_descriptors = second == "none";
+    else if (first == "reload") reload();
     else if (first == "terminate") app_->terminate();
     else if (first == "ended") need(app_->finished() == (second == "yes"), "the program thinks otherwise");
     else if (first == "log")
@@ -112,13 +114,22 @@
     *at = protocol::parse_json("[" + value + "]")[0];
   }
 
+  program::Config read(program::Occasion occasion) {
+    auto environment = [this](const char* variable) { return environment_[variable]; };
+    return program::read_config(config_json_.toStyledString(), environment, transport::Duration(0), occasion);
+  }
+
   void start() {
-    config_ = program::read_config(
-        config_json_.toStyledString(), [](const char*) { return std::string(); }, transport::Duration(0));
-    app_.emplace(config_, network_, deadlines_, clock_, log_);
+    app_.emplace(read(program::Occasion::Start), network_, deadlines_, clock_, log_);
     app_->start();
   }
 
+  void reload() try {
+    app_->reload(read(program::Occasion::Reload));
+  } catch (const std::runtime_error& e) {
+    app_->reload_failed(e.what());
+  }
+
   void wait(double ms) {
     transport::Time until = clock_.at + transport::Duration(ms);
     for (auto next = deadlines_.next(); next && *next <= until; next = deadlines_.next()) {
@@ -185,7 +196,7 @@
   PlayedNetwork network_;
   std::string log_text_;
   program::Log log_{clock_, [this](const std::string& line) { log_text_ += line + '\n'; }};
-  program::Config config_;
+  std::map<std::string, std::string> environment_;
   std::optional<program::App> app_;
 };
 
--- a/tests/net/program_process.sh
+++ b/tests/net/program_process.sh
@@ -12,14 +12,32 @@
 [ "$(wc -l <"$log")" -eq 3 ] || fail "a bad configuration is not one line each"
 
 # An address of the loopback that parallel runs do not share; discovery is not there, and the program serves all the same.
+copy=$(mktemp)
+trap 'rm -f "$log" "$copy"' EXIT
+cp "$config" "$copy"
 listen=127.$(($$ % 250 + 1)).$(($$ / 250 % 250)).8:47011
-ROUTER_CONFIG=$config ROUTER_LISTEN=$listen ROUTER_DISCOVERY=127.0.0.1:1 "$program" 2>"$log" &
+ROUTER_CONFIG=$copy ROUTER_LISTEN=$listen ROUTER_DISCOVERY=127.0.0.1:1 "$program" 2>"$log" &
 pid=$!
 until grep -q '^names: ' "$log"; do  # its first call to discovery has failed: the loop is turning
   kill -0 "$pid" 2>/dev/null || fail "it ended by itself"
   sleep 0.05
 done
 grep -q '^start: toy listens on '"$listen" "$log" || fail "it does not say where it listens"
+# SIGHUP: the file's discovery goes before the variable's; a file that makes no sense changes nothing; again works.
+says() {  # waits for the line; the program must not end meanwhile
+  until grep -q "$1" "$log"; do
+    kill -0 "$pid" 2>/dev/null || fail "it ended instead of saying: $1"
+    sleep 0.05
+  done
+}
+kill -HUP "$pid"
+says '^reload: configuration read; discovery moves to 127'
+echo '{' >"$copy"
+kill -HUP "$pid"
+says '^reload: the old configuration is kept: configuration: '
+cp "$config" "$copy"
+kill -HUP "$pid"
+says '^reload: configuration read; discovery stays at 127'
 kill -TERM "$pid"
 wait "$pid" || fail "it did not end well after SIGTERM"
 grep -q '^stop: ended' "$log" || fail "it does not say that it ended"
