Keep clients' connections for most of the time that SIGTERM leaves

Checked by a trace of takes and answers beside the report's events: n0 got SIGTERM at 13.1 s, took nothing from 13.3 to its restart at 17.4 s; n1 got SIGTERM at 16.1 s, closed its idle connections at once and took nothing from 16.3 to 20.4 s. From 16.3 to 17.4 s nobody served, though n1 ran on and its clients would have used the connections they had. Ruled out: the reloads (four, each followed by the whole list within 2 ms), drains, crashes, and the three requests that one order worker failed. At fault: HttpFront::start_draining() finished every used idle connection, and respond() closed after each answer. Now connections are kept for three fifths of the time to the last call, then closed when idle, so that clients move on and what is open can finish.

--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -17,6 +17,7 @@
     3000};  // SIGKILL follows SIGTERM after the longest deadline, counted at most so
 constexpr Duration kBeforeKill{400};  // what is open then is answered this long after that deadline, to be
                                       // done before SIGKILL, which comes 700 ms after it
+constexpr double kServedOn = 0.6;     // of that time connections are kept; the rest is for what is open
 constexpr Duration kFarewell{200};    // then, for the last bytes to be taken
 
 HttpInstances::Times instance_times(const Config& c) {
@@ -120,18 +121,21 @@
   drain();
 }
 
-// Goes on serving until nothing is open and no new connection can be on its way; then, or shortly before
-// SIGKILL would come, closes what is left and ends.
+// Serves on as if nothing had come, and ends when the clients have gone. Guards clients in a rolling restart: they
+// use the connections they have, and where those are closed at once, the only other dispatcher may still be on its
+// way up. Then their connections are closed so that they move on; what is open finishes, or is answered shortly
+// before SIGKILL would come.
 void App::drain() {
   Duration longest{0};
   for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline);
   Duration since = clock_.now() - *terminated_;
-  bool last_call = since >= std::min(longest, kLongestCounted) + kBeforeKill;
+  Duration time = std::min(longest, kLongestCounted) + kBeforeKill;
+  bool last_call = since >= time;
   if (last_call && router_.open_commands() > 0) {
     log_.line("stop", std::to_string(router_.open_commands()) + " commands fail: the time to end is over");
     router_.fail_all();
   }
-  if (since >= kStillComing) front_.close_idle();
+  if (since >= std::max(kStillComing, kServedOn * time)) front_.close_connections();
   if (last_call || (since >= kStillComing && router_.open_commands() == 0 && front_.empty())) {
     deadlines_.add(clock_.now() + kFarewell, [this] { finished_ = true; });
     return;
--- a/src/program/http_front.cpp
+++ b/src/program/http_front.cpp
@@ -150,7 +150,7 @@
 void HttpFront::respond(SlotRef at, int status, const Headers& headers, std::string_view body) {
   auto it = sessions_.find(at);
   if (it == sessions_.end()) return;
-  bool keep = it->second.keep_alive && !draining_;
+  bool keep = it->second.keep_alive && !closing_;
   on_.network.send(at, protocol::write_response(status, headers, body, keep));
   if (keep) return;
   forget(at);
@@ -239,12 +239,8 @@
   return false;
 }
 
-void HttpFront::start_draining() {
-  draining_ = true;
-  finish_all(idle_);
-}
-
-void HttpFront::close_idle() {
+void HttpFront::close_connections() {
+  closing_ = true;
   finish_all(idle_);
   finish_all(fresh_);
 }
--- a/src/program/http_front.h
+++ b/src/program/http_front.h
@@ -20,8 +20,9 @@
 
   void attach(routing::Router& router) { router_ = &router; }
   void set_ready() { ready_ = true; }
-  void start_draining();  // answers close their connections from now on, and idle ones are closed
-  void close_idle();      // also those that never brought a request
+  void start_draining() { draining_ = true; }  // not ready any more; what comes is served all the same
+  // Answers close their connections from now on, and each call closes those that are idle.
+  void close_connections();
   bool empty() const { return sessions_.empty(); }
 
   void on_accepted(transport::SlotRef connection) override;
@@ -62,7 +63,7 @@
 
   Platform on_;
   routing::Router* router_ = nullptr;
-  bool ready_ = false, draining_ = false;
+  bool ready_ = false, draining_ = false, closing_ = false;
   std::map<transport::SlotRef, Session> sessions_;
   std::map<routing::CommandRef, transport::SlotRef> waiting_;  // commands and the connections they came on
   Order fresh_;                                                // have not brought a whole request yet
