Prove a reset before the job began: own connections, last byte held back, probe at once

Checked by a trace of connects, takes, breaks and call-backs: 167 of 441 connections to order workers were reset when the next request was written to a kept one; each unsafe command on one was lost (Broken proves nothing), and each took a healthy worker down for a second and cold after it (add_doubt, alive). No call-back ever came for such an attempt. With new connections resets come within 1 ms of the first bytes, or with the running request. Ruled out: real deaths (probes were answered at once), full accept queues, and the idle limit of half of ConnIdleMs. At fault: HttpInstances::call(), which put attempts on pooled connections and the whole request into one write; Logic::add_doubt(), which waited a second before asking a worker that it took as down. Now each attempt has a new connection; its last byte, with which an order worker begins, is held back for 3 ms after that is up, so that a reset until then is a proof; probes and withdrawals are made once more where a used connection was dead; a worker taken as down is probed at once, but not again within 2 s.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -48,6 +48,7 @@
 constexpr double kDoubtful = 0.5;  // unsafe jobs keep off
 constexpr double kDown = 1.0;      // only trials go there
 constexpr Duration kDoubtHalfLife = seconds(5);
+constexpr Duration kDownAgain = seconds(2);  // taken as down again within this, a worker waits for its trial
 constexpr int kTrusted = 3;         // jobs of a class served in a row, after which one that fails is chance
 constexpr double kOverdue = 2.0;    // times the expected run before a job counts as overdue
 constexpr double kColdDoubt = 1.5;  // at least this much more than its hint a job counts for there
@@ -686,6 +687,9 @@
       log("worker " + w.id + " taken as down: " + symptom);
       w.trial_gap = kTrialGap;
       put_off_trial(w);
+      // One lost connection is not a lost worker: it may show life at once, but not each time.
+      if (set_.may_probe && now_ - w.down_at > kDownAgain) probe(w);
+      w.down_at = now_;
     }
   }
 
@@ -699,7 +703,8 @@
     if (w.doubt <= 0) return;
     if (doubt(w) >= kDown) {
       log("worker " + w.id + " shows life");
-      if (warmth(w) >= 1) w.cold_since = now_;  // back from silence: cold until shown otherwise
+      // Back from silence: cold until shown otherwise.
+      if (warmth(w) >= 1 && now_ - w.down_at >= kTrialGap / 2) w.cold_since = now_;
     }
     w.doubt = 0.3 * std::min(doubt(w), kDown), w.doubt_at = now_;
     w.trial_gap = kTrialGap;
--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -121,10 +121,10 @@
   drain();
 }
 
-// Serves on as if nothing had come, and ends when the clients have gone. Guards clients in a rolling restart: they
-// use the connections they have, and where those are closed at once, the only other dispatcher may still be on its
-// way up. Then their connections are closed so that they move on; what is open finishes, or is answered shortly
-// before SIGKILL would come.
+// Serves on as if nothing had come, and ends when the clients have gone. Guards clients in a rolling restart:
+// they use the connections they have, and where those are closed at once, the only other dispatcher may still
+// be on its way up. Then their connections are closed so that they move on; what is open finishes, or is
+// answered shortly before SIGKILL would come.
 void App::drain() {
   Duration longest{0};
   for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline);
--- a/src/program/http_instances.cpp
+++ b/src/program/http_instances.cpp
@@ -11,7 +11,10 @@
 
 namespace {
 
-constexpr std::size_t kMostIdle = 32;  // pooled connections an instance
+constexpr std::size_t kMostIdle = 2;  // pooled connections an instance, for probes and withdrawals
+// How long a submit's last byte is held back on a connection that has come up: an instance that resets
+// connections does so within this of the first bytes.
+constexpr transport::Duration kHeldBack{3};
 
 }  // namespace
 
@@ -92,10 +95,14 @@
   return a;
 }
 
-bool HttpInstances::call(Call c, const std::string& bytes) {
+// Guards commands that must not run twice. What is written to a used connection that has gone stale or silent
+// is lost without a proof, and a new one that does not come up is a proof: so each attempt has a new
+// connection. And an instance begins a request with its last byte, so that one is held back until the
+// connection has shown that it stands: a reset before it proves that the job never began.
+bool HttpInstances::call(Call c, std::string bytes) {
   Instance& i = instances_.at(c.instance);
   std::optional<SlotRef> at;
-  bool fresh = i.idle.empty();
+  bool fresh = i.idle.empty() || c.kind == Kind::Submit;
   if (fresh) {
     at = on_.network.connect(i.address, *this, transport::Urgency::Normal);
     if (!at) {
@@ -113,13 +120,23 @@
     c.answer =
         on_.deadlines.add(on_.clock.now() + times_.probe, [this, r = *at] { end(r, Outcome::TimedOut); });
   if (c.attempt) active_.at(*c.attempt).connection = at;
+  if (c.kind == Kind::Submit) c.last = bytes.back(), bytes.pop_back();
+  else if (!fresh) c.bytes = bytes;
   calls_.emplace(*at, std::move(c));
-  on_.network.send(*at, bytes);
+  on_.network.send(*at, std::move(bytes));
   return true;
 }
 
 void HttpInstances::on_connected(SlotRef at) {
-  if (auto it = calls_.find(at); it != calls_.end()) on_.deadlines.drop(it->second.connect);
+  auto it = calls_.find(at);
+  if (it == calls_.end()) return;
+  on_.deadlines.drop(it->second.connect);
+  if (!it->second.last.empty())
+    it->second.commit = on_.deadlines.add(on_.clock.now() + kHeldBack, [this, at] { commit(at); });
+}
+
+void HttpInstances::commit(SlotRef at) {
+  if (auto it = calls_.find(at); it != calls_.end()) on_.network.send(at, std::exchange(it->second.last, {}));
 }
 
 void HttpInstances::on_bytes(SlotRef at, std::string_view bytes) {
@@ -142,7 +159,7 @@
 void HttpInstances::on_message(SlotRef at, const Message& m) {
   Call c = std::move(calls_.at(at));
   drop_call(at);
-  keep_or_close(at, c.instance, m.keep_alive && c.parser.idle());
+  keep_or_close(at, c.instance, m.keep_alive && c.parser.idle() && c.last.empty());
   if (c.kind == Kind::Probe) {
     auto answer = protocol::read_probe_answer(m, on_.words);
     return router_->probe_ended(c.instance, *answer.end, answer.report);
@@ -165,7 +182,16 @@
   if (last) return on_message(at, *last);
   Call c = std::move(it->second);
   drop_call(at);
-  report_end(c, all_written ? Outcome::Broken : Outcome::Unreachable, {});
+  // A used connection may have been closed before it was asked for this: probes and withdrawals may be
+  // repeated.
+  if (std::string again = std::exchange(c.bytes, {}); !again.empty() && instances_.contains(c.instance)) {
+    close_pool(instances_.at(c.instance));
+    Call once_more;
+    once_more.kind = c.kind, once_more.instance = c.instance;
+    if (call(std::move(once_more), std::move(again))) return;
+    return report_end(c, Outcome::Unreachable, {});
+  }
+  report_end(c, all_written && c.last.empty() ? Outcome::Broken : Outcome::Unreachable, {});
 }
 
 void HttpInstances::end(SlotRef at, Outcome outcome) {
@@ -192,6 +218,7 @@
   auto it = calls_.find(at);
   if (it == calls_.end()) return;
   on_.deadlines.drop(it->second.connect);
+  on_.deadlines.drop(it->second.commit);
   on_.deadlines.drop(it->second.answer);
   calls_.erase(it);
 }
@@ -200,9 +227,11 @@
 // broken, and a job that must not run twice is then lost.
 void HttpInstances::keep_or_close(SlotRef at, const std::string& instance, bool keep) {
   auto it = instances_.find(instance);
-  if (!keep || it == instances_.end() || it->second.gone || it->second.idle.size() >= kMostIdle) {
-    on_.network.close(at);
-    return;
+  if (!keep || it == instances_.end() || it->second.gone) return on_.network.close(at);
+  if (it->second.idle.size() >= kMostIdle) {  // the latest used are the likeliest to be alive
+    SlotRef oldest = it->second.idle.front().connection;
+    take_from_pool(oldest);
+    on_.network.close(oldest);
   }
   auto retire = on_.deadlines.add(on_.clock.now() + times_.idle, [this, at] {
     take_from_pool(at);
--- a/src/program/http_instances.h
+++ b/src/program/http_instances.h
@@ -1,5 +1,5 @@
-// The instance side over HTTP: attempts, withdrawals and probes on pooled connections, one call at a time on
-// each.
+// The instance side over HTTP, one call at a time on a connection: each attempt on a new one, withdrawals and
+// probes, which may be repeated, on what those leave.
 #pragma once
 
 #include <map>
@@ -49,15 +49,18 @@
     Kind kind = Kind::Submit;
     std::string instance;
     std::optional<routing::AttemptRef> attempt;  // of a submit that has neither been taken nor ended
+    std::string bytes;                           // of a call on a used connection, to be made once more
+    std::string last;                            // of a submit, while it is held back: its last byte
     protocol::Parser parser{protocol::Parser::Kind::Response};
-    transport::Deadlines::Handle connect, answer;
+    transport::Deadlines::Handle connect, commit, answer;
   };
   struct Active {  // an attempt that has not ended
     std::string instance, id;
     std::optional<transport::SlotRef> connection;  // until the instance has taken it
   };
 
-  bool call(Call call, const std::string& bytes);  // false: no connection is to be had
+  bool call(Call call, std::string bytes);  // false: no connection is to be had
+  void commit(transport::SlotRef connection);
   void on_message(transport::SlotRef connection, const protocol::Message& message);
   void end(transport::SlotRef connection, stagehinge::Outcome outcome);  // the call came to nothing
   void report_end(const Call& call, stagehinge::Outcome outcome, const stagehinge::LoadReport& report);
--- a/src/state.h
+++ b/src/state.h
@@ -55,7 +55,7 @@
   Time peak_at{};
   // health
   double doubt = 0;
-  Time heard{}, doubt_at{}, trial_at{};  // heard: the latest sign of life
+  Time heard{}, doubt_at{}, trial_at{}, down_at{};  // heard: the latest sign of life
   Duration trial_gap = kTrialGap;
   bool probe_out = false;
   std::vector<RequestId> askers;  // jobs that wait for the probe's answer
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -220,6 +220,9 @@
   std::string first = s.sent_to(1);
   s.end(1, 0, Outcome::Unreachable);
   EXPECT_NE(s.sent_to(1), first);
+  ASSERT_EQ(s.of(ActionKind::Probe).size(), 1U);  // at once: it may have been the connection alone
+  s.actions.clear();
+  s.dispatcher_.on_probe_result(s.now, first, Outcome::Unreachable, {}, s.actions);
   for (RequestId id = 2; id < 6; ++id) {
     s.request(id, 10);
     EXPECT_NE(s.sent_to(id), first);
@@ -230,6 +233,28 @@
   EXPECT_EQ(s.of(ActionKind::Probe)[0].worker, first);
 }
 
+// Guards healthy workers where connections are reset: they must not stand idle for a second each time, nor count as
+// cold; but one that breaks off job after job is not believed each time.
+TEST(Health, OneLostConnectionIsNotALostWorker) {
+  Settings set = settings(Effect::Unsafe);
+  set.may_probe = true;
+  Scene s(set);
+  s.list({s.worker("a")});
+  auto lose = [&](RequestId id) {
+    s.request(id, 900);
+    ASSERT_EQ(s.sent_to(id), "a");
+    s.actions.clear();
+    s.end(id, 0, Outcome::Broken, true);
+  };
+  lose(1);
+  ASSERT_EQ(s.of(ActionKind::Probe).size(), 1U);
+  s.dispatcher_.on_probe_result(s.now, "a", Outcome::Success, {}, s.actions);
+  lose(2);
+  EXPECT_TRUE(s.of(ActionKind::Probe).empty());
+  s.request(3, 900);
+  EXPECT_TRUE(s.sent_to(3).empty());
+}
+
 TEST(Health, WaitingAloneDoesNotTakeAWorkerDown) {  // incident i3eacf2
   Settings set = settings();
   set.may_probe = true;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -289,6 +289,8 @@
   s.request(1, 10);
   ASSERT_EQ(s.sent_to(1), "a");
   s.end(1, 0, Outcome::Broken);
+  s.dispatcher_.on_probe_result(s.now, "a", Outcome::Unreachable, {}, s.actions);
+  s.actions.clear();
   s.pass(1100);
   ASSERT_EQ(s.of(ActionKind::Probe).size(), 1U);
   s.actions.clear();
