Tenants' shares: jobs beyond one are held after all others and leave a slot free

Ruled out: health (no worker taken as down), connections and descriptors, and the CPU limit (0.04 of 0.2 core). At fault: Logic::request() and hold(), which had no tenant at all; the wire's third field and X-Account were dropped. Now a token bucket for each tenant, filled by its quota times this dispatcher's part of the traffic, tells which jobs are beyond; those go only where they start at once and a slot stays free, after all others. Tests: Shares.AJobBeyondItsTenantsShareLeavesASlotFree, Shares.WithoutQuotasThereAreNone.

--- a/include/stagehinge/dispatcher.h
+++ b/include/stagehinge/dispatcher.h
@@ -71,6 +71,10 @@
   std::optional<Duration> extra_window;
   // prices, each as a fraction of the day's worth for one unit a request
   double price_cross_zone = 0;
+  // Requests a second of each tenant, at all dispatchers together, that are worth all; one beyond its tenant's share
+  // is worth this part. Empty: there are no tenants.
+  std::vector<double> tenant_quotas;
+  double over_share_worth = 1;
   bool worth_by_work = false;
 };
 
@@ -97,6 +101,7 @@
   std::optional<Duration> hint;  // expected work at standard speed
   double slots = 1;
   double memory = 0;
+  std::size_t tenant = 0;
 };
 
 struct AttemptEnd {
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -44,6 +44,12 @@
 constexpr double kKeptForResends = 1;  // further attempts that copies leave in the retry budget
 constexpr double kHopeless = 0.7;      // refuse only if even this share of the expected run would end late
 
+// Shares of tenants.
+constexpr double kShareBurst = 2;           // seconds of a tenant's share that may come at once
+constexpr double kShareUnused = 1.1;        // quotas are not used up: a part that is told from rates is low
+constexpr Duration kTraffic = seconds(60);  // what this dispatcher's part of the traffic is told from...
+constexpr double kTrafficGuess = 5;         // ...with an even part taken for granted for so many seconds
+
 // Health: symptoms add to one doubt, signs of life take most of it away.
 constexpr double kDoubtful = 0.5;  // unsafe jobs keep off
 constexpr double kDown = 1.0;      // only trials go there
@@ -73,6 +79,7 @@
   Logic(const Settings& settings, Time now, std::vector<Action>& out)
       : set_(settings), now_(now), out_(&out), random_(settings.seed) {
     validate(set_);
+    for (double quota : set_.tenant_quotas) tenants_.push_back({quota}), all_quotas_ += quota;
     if (set_.must_subscribe) subscribe();
   }
 
@@ -234,6 +241,11 @@
     // it goes where it keeps nobody waiting. May hurt when repeats of a long overload find free slots.
     if (job.limit < now_ + Duration(job.work / mean_speed_) && lost > Duration(0) && job.cls->late_worth <= 0)
       job.limit = std::min(now_ + wanted, job.ends), job.late = true;
+    // EXCEPTION share: a job beyond its tenant's share is worth little and goes where it keeps nobody waiting
+    // and a slot stays free beside it, after all others that are held. May hurt where a tenant's traffic moves
+    // to another dispatcher: there its share is not known yet.
+    job.over = beyond_share(r.tenant);
+    if (job.over) job.limit = job.ends, job.late = true;
     arm(job.ends, DueKind::Answer, r.id);
     update_cutoff();
     if (job.ends <= now_) return finish(job, ActionKind::Reject);
@@ -241,6 +253,26 @@
     if (set_.reports == ReportMode::OnProbe && !draws()) look_around();
   }
 
+  // Shares are of the traffic at all dispatchers. This one's part of them is its own rate against all quotas:
+  // where tenants send what is theirs, that is just its part of the traffic.
+  bool beyond_share(std::size_t tenant) {
+    if (tenant >= tenants_.size() || all_quotas_ <= 0 || set_.over_share_worth >= 1) return false;
+    if (traffic_at_ == Time{}) traffic_at_ = now_;
+    double keep = std::exp(-((now_ - traffic_at_) / kTraffic));
+    traffic_ = keep * traffic_ + 1;
+    traffic_span_ = keep * traffic_span_ + (1 - keep) * (kTraffic / Duration(seconds(1)));
+    traffic_at_ = now_;
+    double even = all_quotas_ / set_.balancers;
+    double part = (traffic_ + kTrafficGuess * even) / (traffic_span_ + kTrafficGuess) / all_quotas_;
+    Tenant& t = tenants_[tenant];
+    double rate = kShareUnused * t.quota * part, most = std::max(2.0, kShareBurst * rate);
+    t.left = t.at == Time{} ? most : std::min(most, t.left + rate * ((now_ - t.at) / Duration(seconds(1))));
+    t.at = now_;
+    if (t.left < 1) return true;
+    t.left -= 1;
+    return false;
+  }
+
   double worth(const Job& job) const { return job.cls->worth * (set_.worth_by_work ? job.load() : 1); }
   double cross_price(const Job& job) const {  // as a share of a job's slack that a crossing must save
     return kCrossDoubt * set_.price_cross_zone * mean_worth_ / std::max(1e-9, worth(job));
@@ -388,7 +420,7 @@
       look(job, pools_[cross][pool], [&](Worker& w) {
         if (!eligible(w, job) || (w.zone != set_.zone) != cross || w.short_pool != pool) return;
         Duration delay = start_delay(w, job), slack = job.limit - now_ - run_time(w, job);
-        if (slack < Duration(0)) return;
+        if (slack < Duration(0) || (job.over && !leaves_room(w, job))) return;
         double share = delay / std::max(slack, Duration(1e-3));
         if (!best.worker) best.delay_share = std::min(best.delay_share, share);
         if (share > (job.late ? 0 : kQueueShare)) return;
@@ -463,6 +495,10 @@
     return w.own_slots + others(w) + job.request.slots <= w.slots + 0.25;
   }
 
+  bool leaves_room(const Worker& w, const Job& job) const {  // for the next job that is worth more
+    return w.own_slots + others(w) + job.request.slots <= w.slots - 0.5;
+  }
+
   void asked_answers(Worker& w, bool lives) {  // room there: the asker goes; else it waits for other answers
     std::vector<RequestId> askers;
     askers.swap(w.askers);
@@ -532,8 +568,8 @@
   void hold(Job& job) {
     if (job.held_key) return;
     job.asked.clear();
-    job.held_key = job.limit;
-    held_.emplace(job.limit, job.request.id);
+    job.held_key = job.turn();
+    held_.emplace(*job.held_key, job.request.id);
     arm(std::max(now_, last_chance(job)), DueKind::Limit, job.request.id);
     if (!sweeping_) arm(now_ + kHeldEvery, DueKind::Held, 0), sweeping_ = true;
   }
@@ -935,6 +971,9 @@
   std::optional<Time> armed_;
   std::uint64_t order_ = 0;
   std::vector<std::pair<double, double>> releases_;
+  std::vector<Tenant> tenants_;
+  double all_quotas_ = 0, traffic_ = 0, traffic_span_ = 0;
+  Time traffic_at_{};
   HintHistogram hints_;
   double cutoff_ = 0, short_share_ = 0.5, mean_work_ = 100, mean_worth_ = 0, usual_others_ = 0,
          mean_speed_ = 1, most_slots_ = kGuessedSlots;
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -163,8 +163,9 @@
   auto job_class = index_of(words.classes, m.header("X-Service-Class"));
   if (!job_class) throw Refused("unknown X-Service-Class");
   c.request.job_class = *job_class;
-  if (!words.tenants.empty() && !index_of(words.tenants, m.header("X-Account")))
-    throw Refused("unknown X-Account");
+  auto tenant = index_of(words.tenants, m.header("X-Account"));
+  if (!words.tenants.empty() && !tenant) throw Refused("unknown X-Account");
+  c.request.tenant = tenant.value_or(0);
   std::string_view left = m.header("X-Time-Left-Ms");  // whole: "1e9" is a number elsewhere, but not here
   if (left.find_first_not_of("0123456789") != std::string_view::npos) throw Refused("bad X-Time-Left-Ms");
   c.request.patience = Duration(need_number(left, 0, kMostMs, "X-Time-Left-Ms"));
--- a/src/settings/reader.h
+++ b/src/settings/reader.h
@@ -147,6 +147,9 @@
   if (in.has("Invariants.BudgetFree")) s.budget_free = in.number("Invariants.BudgetFree", 0);
   if (in.has("Invariants.ExtraPerRequest")) s.extra_per_request = in.number("Invariants.ExtraPerRequest", 0);
   if (in.has("Invariants.ExtraWindowMs")) s.extra_window = in.time("Invariants.ExtraWindowMs");
+  for (int i = 0; i < std::min(in.whole("Tenants.count", 0), 10'000); ++i)
+    s.tenant_quotas.push_back(in.number("Tenants." + std::to_string(i) + ".QuotaRps", 0));
+  s.over_share_worth = in.number("OverShareWorth", 1);
   s.price_cross_zone = in.number("Penalties.CrossZone", 0);
   s.worth_by_work = in.text("WorthBy") == "work";
   return {in.text("Extra.ReportX0") == "free_slots", in.text("Extra.ReportX1") == "free_memory"};
--- a/src/simhost/host.h
+++ b/src/simhost/host.h
@@ -84,7 +84,7 @@
       stagehinge::Request r;
       r.id = f.hex_id();
       r.job_class = f.integer<std::size_t>();
-      f.word();  // tenant
+      r.tenant = static_cast<std::size_t>(std::max(0.0, f.optional_number().value_or(0)));
       f.word();  // key
       r.patience = f.time();
       std::optional<double> hint = f.optional_number();
--- a/src/state.h
+++ b/src/state.h
@@ -91,12 +91,19 @@
   Time ends;        // the client's patience less a margin
   std::vector<Attempt> attempts;
   bool late = false;  // only late worth is left: runs where it keeps nobody waiting
+  bool over = false;  // beyond its tenant's share: the same, and after all others that are held
+  Time turn() const { return limit + (over ? 1 : 0) * Duration(std::chrono::hours(1)); }  // when held
   double load() const { return work * request.slots; }  // slot-weighted work
   std::optional<Time> held_key;
   std::vector<Worker*> asked;  // for their load, before the job goes
   int awaited = 0, rounds = 0;
 };
 
+struct Tenant {  // what its share still holds at this dispatcher, in requests
+  double quota = 0, left = 0;
+  Time at{};
+};
+
 enum class DueKind { Answer, Ask, Limit, Watch, Held, Trials, Subscribe };
 struct Due {
   Time at;
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -233,6 +233,42 @@
   EXPECT_EQ(s.of(ActionKind::Probe)[0].worker, first);
 }
 
+// Guards the other tenants from a burst of one: what is beyond its share takes only what nobody else needs.
+TEST(Shares, AJobBeyondItsTenantsShareLeavesASlotFree) {
+  Settings set = settings();
+  set.tenant_quotas = {2, 2}, set.over_share_worth = 0.05;
+  Scene s(set);
+  s.list({s.worker("a")});
+  for (RequestId id = 1; id <= 4; ++id) {  // its share of two seconds at once
+    s.request(id, 10);
+    ASSERT_EQ(s.sent_to(id), "a");
+    s.end(id, 0, Outcome::Success, true);
+  }
+  s.request(5, 10);
+  EXPECT_EQ(s.sent_to(5), "a");  // both slots are free
+  s.request(6, 10);
+  EXPECT_TRUE(s.sent_to(6).empty());
+  s.request(7, 10, 10000, 1, 1);
+  EXPECT_EQ(s.sent_to(7), "a");
+  s.end(5, 0, Outcome::Success, true);
+  EXPECT_TRUE(s.sent_to(6).empty());
+  s.end(7, 0, Outcome::Success, true);
+  EXPECT_EQ(s.sent_to(6), "a");
+  s.pass(1000);  // the share fills again
+  s.request(8, 10);
+  EXPECT_EQ(s.sent_to(8), "a");
+}
+
+TEST(Shares, WithoutQuotasThereAreNone) {
+  Scene s(settings());
+  s.list({s.worker("a")});
+  for (RequestId id = 1; id <= 20; ++id) {
+    s.request(id, 10, 10000, 1, 3);
+    ASSERT_EQ(s.sent_to(id), "a");
+    s.end(id, 0, Outcome::Success, true);
+  }
+}
+
 // Guards healthy workers where connections are reset: they must not stand idle for a second each time, nor count as
 // cold; but one that breaks off job after job is not believed each time.
 TEST(Health, OneLostConnectionIsNotALostWorker) {
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -170,6 +170,7 @@
                {"X-Facts", "slots=2, colour=3"}};
   auto c = protocol::read_command(std::move(m), config().words);
   CHECK(c.request.hint == stagehinge::Duration(2.5));
+  CHECK(c.request.tenant == 0);
   CHECK(c.request.slots == 2);
   CHECK(c.request.patience == stagehinge::Duration(480));
 }
--- a/tests/support.h
+++ b/tests/support.h
@@ -53,10 +53,11 @@
     actions.clear();
     dispatcher_.on_list(now, kind, entries, actions);
   }
-  void request(RequestId id, double hint, double patience = 10000, double slots = 1) {
+  void request(RequestId id, double hint, double patience = 10000, double slots = 1,
+               std::size_t tenant = 0) {
     actions.clear();
     Request r;
-    r.id = id, r.patience = Duration(patience), r.hint = Duration(hint), r.slots = slots;
+    r.id = id, r.patience = Duration(patience), r.hint = Duration(hint), r.slots = slots, r.tenant = tenant;
     dispatcher_.on_request(now, r, actions);
   }
   void end(RequestId id, int attempt, Outcome outcome, bool final = false, LoadReport report = {}) {
