Tell clients that move here from a tenant's burst when shares are counted

Checked by a trace: from the moment the other dispatcher closed its connections all tenants' rates here doubled, and the part of the traffic told from the last minute made half of them count as beyond their shares; the same after a restart. Ruled out: full workers (others' jobs started within 10 ms) and the drain itself (no more commands failed than before). At fault: Logic::beyond_share(), which took any rise for a burst. Now a tenant's share also follows what all the other tenants send here within seconds. Test: Shares.FollowTheOtherTenantsWhenClientsMoveHere fails without the change.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -46,9 +46,9 @@
 
 // Shares of tenants.
 constexpr double kShareBurst = 2;           // seconds of a tenant's share that may come at once
-constexpr double kShareUnused = 1.1;        // quotas are not used up: a part that is told from rates is low
 constexpr Duration kTraffic = seconds(60);  // what this dispatcher's part of the traffic is told from...
 constexpr double kTrafficGuess = 5;         // ...with an even part taken for granted for so many seconds
+constexpr Duration kMoved = seconds(4);     // ...or from this, where clients have moved here
 
 // Health: symptoms add to one doubt, signs of life take most of it away.
 constexpr double kDoubtful = 0.5;  // unsafe jobs keep off
@@ -242,8 +242,8 @@
     if (job.limit < now_ + Duration(job.work / mean_speed_) && lost > Duration(0) && job.cls->late_worth <= 0)
       job.limit = std::min(now_ + wanted, job.ends), job.late = true;
     // EXCEPTION share: a job beyond its tenant's share is worth little and goes where it keeps nobody waiting
-    // and a slot stays free beside it, after all others that are held. May hurt where a tenant's traffic moves
-    // to another dispatcher: there its share is not known yet.
+    // and a slot stays free beside it, after all others that are held. May hurt where one tenant's clients
+    // move to another dispatcher: there its share is not known yet.
     job.over = beyond_share(r.tenant);
     if (job.over) job.limit = job.ends, job.late = true;
     arm(job.ends, DueKind::Answer, r.id);
@@ -254,7 +254,8 @@
   }
 
   // Shares are of the traffic at all dispatchers. This one's part of them is its own rate against all quotas:
-  // where tenants send what is theirs, that is just its part of the traffic.
+  // where tenants send what is theirs, that is just its part of the traffic. Where all the other tenants send
+  // more at once, clients have moved here from another dispatcher, and its part has grown.
   bool beyond_share(std::size_t tenant) {
     if (tenant >= tenants_.size() || all_quotas_ <= 0 || set_.over_share_worth >= 1) return false;
     if (traffic_at_ == Time{}) traffic_at_ = now_;
@@ -265,7 +266,11 @@
     double even = all_quotas_ / set_.balancers;
     double part = (traffic_ + kTrafficGuess * even) / (traffic_span_ + kTrafficGuess) / all_quotas_;
     Tenant& t = tenants_[tenant];
-    double rate = kShareUnused * t.quota * part, most = std::max(2.0, kShareBurst * rate);
+    recent_.fade(now_, kMoved), t.recent.fade(now_, kMoved);
+    double others = (recent_.count - t.recent.count) / (kMoved / Duration(seconds(1)));
+    recent_.count += 1, t.recent.count += 1;
+    if (t.quota < all_quotas_) part = std::max(part, others / (all_quotas_ - t.quota));
+    double rate = t.quota * part, most = std::max(2.0, kShareBurst * rate);
     t.left = t.at == Time{} ? most : std::min(most, t.left + rate * ((now_ - t.at) / Duration(seconds(1))));
     t.at = now_;
     if (t.left < 1) return true;
@@ -974,6 +979,7 @@
   std::vector<Tenant> tenants_;
   double all_quotas_ = 0, traffic_ = 0, traffic_span_ = 0;
   Time traffic_at_{};
+  Recent recent_;
   HintHistogram hints_;
   double cutoff_ = 0, short_share_ = 0.5, mean_work_ = 100, mean_worth_ = 0, usual_others_ = 0,
          mean_speed_ = 1, most_slots_ = kGuessedSlots;
--- a/src/state.h
+++ b/src/state.h
@@ -1,6 +1,7 @@
 // What a dispatcher remembers of its workers, attempts and jobs. The decisions on it are in logic.cpp.
 #pragma once
 
+#include <cmath>
 #include <list>
 #include <map>
 #include <optional>
@@ -99,9 +100,20 @@
   int awaited = 0, rounds = 0;
 };
 
-struct Tenant {  // what its share still holds at this dispatcher, in requests
-  double quota = 0, left = 0;
+struct Recent {  // requests of late, each counting for less as time goes by
+  double count = 0;
   Time at{};
+  double fade(Time now, Duration memory) {
+    count *= std::exp(-((now - at) / memory));
+    at = now;
+    return count;
+  }
+};
+
+struct Tenant {
+  double quota = 0, left = 0;  // left: what its share still holds at this dispatcher, in requests
+  Time at{};
+  Recent recent = {};
 };
 
 enum class DueKind { Answer, Ask, Limit, Watch, Held, Trials, Subscribe };
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -259,6 +259,36 @@
   EXPECT_EQ(s.sent_to(8), "a");
 }
 
+// Guards clients that move here while another dispatcher restarts: all tenants send more then, which is no burst.
+TEST(Shares, FollowTheOtherTenantsWhenClientsMoveHere) {
+  auto held = [](bool all_tenants) {  // jobs that had to wait when traffic became three times as much
+    Settings set = settings();
+    set.tenant_quotas = {2, 2, 2}, set.over_share_worth = 0.05, set.balancers = 2;
+    Scene s(set);
+    s.list({s.worker("a")});
+    s.request(1, 100000, 200000);  // keeps one of the two slots
+    EXPECT_EQ(s.sent_to(1), "a");
+    s.started(1);
+    int waiting = 0;
+    RequestId id = 1;
+    for (int step = 0; step < 240; ++step, s.now += Duration(100)) {  // each tenant once a second, its share here
+      bool more = step >= 120;
+      for (std::size_t tenant = 0; tenant < 3; ++tenant) {
+        bool bursts = more && (all_tenants || tenant == 0);
+        if ((step + 3 * static_cast<int>(tenant)) % (bursts ? 3 : 10) != 0) continue;
+        s.request(++id, 10, 50, 1, tenant);
+        bool sent = !s.sent_to(id).empty();
+        waiting += step >= 180 && !sent;
+        if (sent) s.end(id, 0, Outcome::Success, true);
+        else s.dispatcher_.on_client_gone(s.now, id, s.actions);
+      }
+    }
+    return waiting;
+  };
+  EXPECT_LE(held(true), 6);
+  EXPECT_GE(held(false), 8);
+}
+
 TEST(Shares, WithoutQuotasThereAreNone) {
   Scene s(settings());
   s.list({s.worker("a")});
