Close an idle instance connection when an attempt finds no descriptor

Seen in the code, and in an exchange that fails without the change: with all descriptors for instances in use an attempt ended as never begun while pooled connections lay idle (http_instances.cpp call()). Checked: at 256 sockets and 32 MB, 48 are for instances, of which 14 instances may keep 28 idle.

--- a/src/program/http_instances.cpp
+++ b/src/program/http_instances.cpp
@@ -105,6 +105,13 @@
   bool fresh = i.idle.empty() || c.kind == Kind::Submit;
   if (fresh) {
     at = on_.network.connect(i.address, *this, transport::Urgency::Normal);
+    // Guards attempts where descriptors are few: what lies idle must not keep one from going out.
+    if (!at && !pooled_.empty()) {
+      SlotRef idle = pooled_.begin()->first;
+      take_from_pool(idle);
+      on_.network.close(idle);
+      at = on_.network.connect(i.address, *this, transport::Urgency::Normal);
+    }
     if (!at) {
       on_.log.line("instance", c.instance + ": no connection to be had to " + i.address);
       return false;
--- a/tests/net/player.h
+++ b/tests/net/player.h
@@ -34,7 +34,7 @@
     bool closed = false, finished = false, held = false, unread = false;
   };
   std::map<transport::SlotRef, End> ends;
-  bool no_descriptors = false;
+  int spare = -1;  // descriptors for connections that the program opens; -1: any number
 
   transport::SlotRef add(End end) {
     transport::SlotRef ref{next_++, 1};
@@ -43,12 +43,16 @@
   }
   std::optional<transport::SlotRef> connect(const std::string& address, transport::ConnectionHandler& handler,
                                             transport::Urgency) override {
-    if (no_descriptors) return std::nullopt;
+    if (spare == 0) return std::nullopt;
+    if (spare > 0) --spare;
     return add({"", address, "", &handler});
   }
   void send(transport::SlotRef ref, std::string bytes) override { ends.at(ref).sent += bytes; }
   void finish(transport::SlotRef ref) override { ends.at(ref).finished = true; }
-  void close(transport::SlotRef ref) override { ends.at(ref).closed = true; }
+  void close(transport::SlotRef ref) override {
+    ends.at(ref).closed = true;
+    if (spare >= 0 && !ends.at(ref).address.empty()) ++spare;
+  }
   bool unread(transport::SlotRef ref) override { return ends.at(ref).unread; }
   void hold(transport::SlotRef ref, bool held) override { ends.at(ref).held = held; }
 
@@ -101,7 +105,7 @@
     else if (first == "open") open(second);
     else if (first == "connects" || first == "refuses" || first == "opens") meet(second, rest, first);
     else if (first == "crowd") need(app_->acceptor().shed_idle() == (second == "sheds"), "it does otherwise");
-    else if (first == "descriptors") network_.no_descriptors = second == "none";
+    else if (first == "descriptors") network_.spare = second == "none" ? 0 : -1;
     else if (first == "reload") reload();
     else if (first == "terminate") app_->terminate();
     else if (first == "ended") need(app_->finished() == (second == "yes"), "the program thinks otherwise");
