Hold no tenant to a quota that the settings do not name

Seen in the code and in a test that fails without the change: a tenant with no QuotaRps beside others that have one got two requests and then counted as beyond its share for ever (Logic::beyond_share()).

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -260,7 +260,7 @@
   // more at once, clients have moved here from another dispatcher, and its part has grown.
   bool beyond_share(const Job& job) {
     std::size_t tenant = job.request.tenant;
-    if (tenant >= tenants_.size() || all_quotas_ <= 0 || set_.over_share_worth >= 1) return false;
+    if (tenant >= tenants_.size() || tenants_[tenant].quota <= 0 || set_.over_share_worth >= 1) return false;
     if (traffic_at_ == Time{}) traffic_at_ = now_;
     double keep = std::exp(-((now_ - traffic_at_) / kTraffic));
     traffic_ = keep * traffic_ + 1;
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -306,13 +306,15 @@
   EXPECT_EQ(s.sent_to(6), "a");
 }
 
-TEST(Shares, WithoutQuotasThereAreNone) {
-  Scene s(settings());
+TEST(Shares, WithoutAQuotaThereIsNone) {
+  Settings set = settings();
+  set.tenant_quotas = {2, 2, 2, 0}, set.over_share_worth = 0.05;
+  Scene s(set);
   s.list({s.worker("a")});
   for (RequestId id = 1; id <= 20; ++id) {
     s.request(id, 10, 10000, 1, 3);
     ASSERT_EQ(s.sent_to(id), "a");
-    s.end(id, 0, Outcome::Success, true);
+    if (id > 1) s.end(id, 0, Outcome::Success, true);  // job 1 keeps a slot
   }
 }
 
