--- a/include/stagehinge/dispatcher.h
+++ b/include/stagehinge/dispatcher.h
@@ -102,6 +102,9 @@
   double slots = 1;
   double memory = 0;
   std::size_t tenant = 0;
+  // Its body goes to the worker as it comes: what has passed since the send tells nothing of the worker.
+  bool streamed = false;
+  Duration transfer{0};  // beyond patience, for the way of its body
 };
 
 struct AttemptEnd {
--- /dev/null
+++ b/src/features/features.cpp
@@ -0,0 +1,94 @@
+#include "features.h"
+
+#include <google/protobuf/io/tokenizer.h>
+#include <google/protobuf/text_format.h>
+
+#include <fstream>
+#include <iterator>
+
+namespace oatledge::features {
+namespace {
+
+using google::protobuf::TextFormat;
+
+// Protobuf counts lines and columns from 0, editors from 1.
+class Faults final : public google::protobuf::io::ErrorCollector {
+ public:
+  explicit Faults(const std::string& name) : name_(name) {}
+  void AddError(int line, int column, const std::string& what) override {
+    if (!text_.empty()) text_ += '\n';
+    text_ += name_ + ':' + std::to_string(line + 1) + ':' + std::to_string(column + 1) + ": " + what;
+  }
+  // A warning is an error here: what somebody wrote and nobody reads is a mistake.
+  void AddWarning(int line, int column, const std::string& what) override { AddError(line, column, what); }
+  const std::string& text() const { return text_; }
+
+ private:
+  std::string name_, text_;
+};
+
+struct Range {
+  const char* field;
+  std::uint64_t low, high;
+};
+// Lower ends keep the program working, higher ends keep sums of them in range.
+constexpr Range kStreaming[] = {
+    {"most_body_bytes", 1, std::uint64_t{1} << 40},
+    {"memory_ceiling_mb", 1, 1 << 16},
+    {"window_kb", 16, 1 << 20},
+    {"replay_bytes", 0, 1 << 30},
+    {"stall_ms", 100, 3'600'000},
+    {"longest_transfer_ms", 100, 86'400'000},
+};
+
+template <std::size_t N>
+void check_ranges(const google::protobuf::Message& m, const Range (&ranges)[N],
+                  const TextFormat::ParseInfoTree* where, Faults& faults) {
+  for (const Range& r : ranges) {
+    const auto* field = m.GetDescriptor()->FindFieldByName(r.field);
+    bool wide = field->cpp_type() == google::protobuf::FieldDescriptor::CPPTYPE_UINT64;
+    std::uint64_t value =
+        wide ? m.GetReflection()->GetUInt64(m, field) : m.GetReflection()->GetUInt32(m, field);
+    if (value >= r.low && value <= r.high) continue;
+    auto at = where->GetLocation(field, -1);
+    faults.AddError(
+        at.line, at.column,
+        std::string(r.field) + " must be from " + std::to_string(r.low) + " to " + std::to_string(r.high));
+  }
+}
+
+void check_streaming(const Streaming& s, const TextFormat::ParseInfoTree* where, Faults& faults) {
+  check_ranges(s, kStreaming, where, faults);
+  if (std::uint64_t{s.window_kb()} << 10 > std::uint64_t{s.memory_ceiling_mb()} << 20) {
+    const char* field = s.has_window_kb() ? "window_kb" : "memory_ceiling_mb";
+    auto at = where->GetLocation(s.GetDescriptor()->FindFieldByName(field), -1);
+    faults.AddError(at.line, at.column, "window_kb is more than all of memory_ceiling_mb");
+  }
+}
+
+}  // namespace
+
+Features read_features(const std::string& text, const std::string& name) {
+  Faults faults(name);
+  TextFormat::ParseInfoTree where;
+  TextFormat::Parser parser;
+  parser.RecordErrorsTo(&faults);
+  parser.WriteLocationsTo(&where);
+  Features all;
+  bool parsed = parser.ParseFromString(text, &all);
+  if (parsed && all.has_streaming())
+    check_streaming(all.streaming(),
+                    where.GetTreeForNested(all.GetDescriptor()->FindFieldByName("streaming"), -1), faults);
+  if (!faults.text().empty()) throw BadFeatures(faults.text());
+  if (!parsed) throw BadFeatures(name + ":1:1: this is no features file");
+  return all;
+}
+
+Features read_features_file(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  std::string text{std::istreambuf_iterator<char>(in), {}};
+  if (!in) throw BadFeatures(path + ":1:1: cannot be read");
+  return read_features(text, path);
+}
+
+}  // namespace oatledge::features
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -237,7 +237,7 @@
     stats.patience = std::max(stats.patience, r.patience);
     Duration lost = stats.patience - r.patience;
     Duration wanted = std::min(job.cls->aim + Duration(job.cls->stretch * job.work), stats.patience);
-    job.ends = now_ + r.patience - 2 * set_.tick - Duration(2);
+    job.ends = now_ + r.patience + r.transfer - 2 * set_.tick - Duration(2);
     job.limit = std::min(now_ + wanted - lost, job.ends);
     // EXCEPTION short patience: where that leaves no time at all, it may as well be a first try in a hurry:
     // it goes where it keeps nobody waiting. May hurt when repeats of a long overload find free slots.
@@ -676,6 +676,8 @@
   }
 
   void watch(Job& job) {
+    // Its client may be the slow one, and of a body that passes through there is only one: no doubt, no copy.
+    if (job.request.streamed) return;
     bool lagging = false, urgent = false;
     Duration next = seconds(1);
     for (std::size_t i = 0; i < job.attempts.size(); ++i) {
@@ -844,7 +846,9 @@
     if (!o) return;
     Shun& shun = w.shunned[o->job_class];
     if (e.outcome == Outcome::Success) {
-      if (o->started || !set_.tells_start) learn_speed(w, *o);
+      auto job = jobs_.find(e.id);
+      bool paced = job == jobs_.end() || !job->second.request.streamed;  // by the worker, not by the client
+      if (o->started || (!set_.tells_start && paced)) learn_speed(w, *o);
       learn_hint(w, *o);
       alive(w);
       shun = {.served = shun.served + 1};
--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -40,6 +40,17 @@
   return o;
 }
 
+std::optional<Streaming> streaming_of(const features::Features& all) {
+  if (!all.has_streaming()) return std::nullopt;
+  const features::Streaming& f = all.streaming();
+  Streaming s;
+  s.most_body = f.most_body_bytes(), s.replay_bytes = f.replay_bytes();
+  s.stall = Duration(f.stall_ms()), s.longest = Duration(f.longest_transfer_ms());
+  s.budget = std::make_shared<streaming::Budget>(std::size_t{f.memory_ceiling_mb()} << 20,
+                                                 std::size_t{f.window_kb()} << 10);
+  return s;
+}
+
 std::vector<stagehinge::WorkerEntry> entries_of(const protocol::NameList& list) {
   std::vector<stagehinge::WorkerEntry> entries;
   for (const protocol::Listed& l : list.entries) {
@@ -61,14 +72,15 @@
   return s;
 }
 
-App::App(Config config, transport::Network& network, transport::Deadlines& deadlines,
-         const transport::Clock& clock, Log& log)
+App::App(Config config, const features::Features& features, transport::Network& network,
+         transport::Deadlines& deadlines, const transport::Clock& clock, Log& log)
     : config_(std::move(config)),
       deadlines_(deadlines),
       clock_(clock),
       log_(log),
-      front_({network, deadlines, clock, config_.words, log}),
-      instances_({network, deadlines, clock, config_.words, log}, instance_times(config_)),
+      streaming_(streaming_of(features)),
+      front_({network, deadlines, clock, config_.words, log}, streaming_),
+      instances_({network, deadlines, clock, config_.words, log}, instance_times(config_), streaming_),
       names_({network, deadlines, clock, config_.words, log}, name_options(config_)),
       router_(config_.settings, share_descriptors(config_).commands, clock, deadlines,
               {front_, instances_, names_}, [&log](const std::string& text) { log.line("module", text); }) {
@@ -135,6 +147,7 @@
     log_.line("stop", std::to_string(router_.open_commands()) + " commands fail: the time to end is over");
     router_.fail_all();
   }
+  if (last_call) front_.cut_streams();
   if (since >= std::max(kStillComing, kServedOn * time)) front_.close_connections();
   if (last_call || (since >= kStillComing && router_.open_commands() == 0 && front_.empty())) {
     deadlines_.add(clock_.now() + kFarewell, [this] { finished_ = true; });
--- a/src/program/app.h
+++ b/src/program/app.h
@@ -1,6 +1,7 @@
 // The wiring: one program out of the layers, over whatever network and clock it is given.
 #pragma once
 
+#include "../features/features.h"
 #include "config.h"
 #include "http_instances.h"
 #include "http_names.h"
@@ -14,8 +15,9 @@
 
 class App {
  public:
-  App(Config config, transport::Network& network, transport::Deadlines& deadlines,
-      const transport::Clock& clock, Log& log);
+  // Features that are absent are off.
+  App(Config config, const features::Features& features, transport::Network& network,
+      transport::Deadlines& deadlines, const transport::Clock& clock, Log& log);
 
   transport::Acceptor& acceptor() { return front_; }
   void start();
@@ -32,6 +34,7 @@
   transport::Deadlines& deadlines_;
   const transport::Clock& clock_;
   Log& log_;
+  std::optional<Streaming> streaming_;
   HttpFront front_;
   HttpInstances instances_;
   HttpNames names_;
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -95,7 +95,10 @@
 
   c.words.classes = names(s["Lanes"]), c.words.tenants = names(s["Tenants"]);
   c.words.zones = names(s["Localities"]), c.words.kinds = names(s["Skus"]);
-  for (const auto& k : c.settings.classes) c.words.keyed.push_back(k.effect == stagehinge::Effect::Keyed);
+  for (const auto& k : c.settings.classes) {
+    c.words.keyed.push_back(k.effect == stagehinge::Effect::Keyed);
+    c.words.deadlines.push_back(k.deadline);
+  }
   c.words.wall_to_steady = wall_to_steady;
   c.fixed = {{"name", c.name},
              {"listen", c.listen},
--- a/src/program/http_front.cpp
+++ b/src/program/http_front.cpp
@@ -14,6 +14,10 @@
 // or a close within 3 s. Later requests have longer, from their first byte to their last.
 constexpr transport::Duration kFirst{2000};
 constexpr transport::Duration kSlowest{10'000};
+bool is_command(const Message& head) {
+  return head.method == "POST" && protocol::is_command_path(head.target);
+}
+
 constexpr int kMessagesATurn = 4;  // of one connection; then the others' turn
 const Headers kText{{"Content-Type", "text/plain"}};
 
@@ -21,6 +25,7 @@
 
 void HttpFront::on_accepted(SlotRef at) {
   Session& s = sessions_[at];
+  if (on_streams_) s.parser.stream(is_command, on_streams_->most_body);
   s.place = ++order_;
   fresh_[s.place] = at;
   wait_for_whole(at, s, kFirst);
@@ -30,10 +35,11 @@
   auto it = sessions_.find(at);
   if (it == sessions_.end()) return;
   Session& s = it->second;
+  if (s.transfer && s.transfer->upload && !s.transfer->reader.done()) return on_upload(at, s, bytes);
   s.parser.feed(bytes);
   // Guards memory: a client may send ahead while its command runs, but little of it is kept. The command
   // itself must not be lost for that.
-  if (s.command && s.parser.buffered() > protocol::kMostHead) hold(at, s, true);
+  if ((s.command || s.transfer) && s.parser.buffered() > protocol::kMostHead) hold(at, s, true);
   work(at);
 }
 
@@ -42,7 +48,7 @@
 void HttpFront::work(SlotRef at) {
   for (int handled = 0;; ++handled) {
     auto it = sessions_.find(at);
-    if (it == sessions_.end() || it->second.command) return;
+    if (it == sessions_.end() || it->second.command || it->second.transfer) return;
     Session& s = it->second;
     if (handled == kMessagesATurn && !s.parser.idle()) {
       hold(at, s, true);
@@ -60,7 +66,7 @@
     if (message) {
       on_.deadlines.drop(s.slow);
       leave_orders(s);
-      s.keep_alive = message->keep_alive;
+      s.keep_alive = message->keep_alive, s.old = message->old;
       handle(at, std::move(*message));
       continue;
     }
@@ -105,22 +111,37 @@
 }
 
 void HttpFront::take_command(SlotRef at, Message m) {
+  bool streamed = m.streamed, expects = protocol::same_name(m.header("Expect"), "100-continue");
+  std::string first = streamed ? std::exchange(m.body, {}) : std::string();
+  Headers fields = streamed ? protocol::content_fields(m.headers) : Headers();
   protocol::ClientCommand command;
   try {
     command = protocol::read_command(std::move(m), on_.words);
   } catch (const protocol::Refused& e) {
     return reject(at, 400, e.what());
   }
+  if (streamed) command.fields = std::move(fields), stretch_patience(command.request);
   stagehinge::Request request = command.request;
-  auto taken =
-      router_->take({request, std::make_shared<HttpCargo>(std::move(command))}, [&](routing::CommandRef c) {
-        sessions_.at(at).command = c;
-        waiting_[c] = at;
-      });
+  auto cargo = std::make_shared<HttpCargo>(std::move(command));
+  if (!give_pipes(*cargo, streamed)) {
+    on_.log.line("stream", "no memory for another body; a command was refused");
+    if (streamed) sessions_.at(at).keep_alive = false;
+    return respond(at, 503, {}, "too many bodies are on their way");
+  }
+  auto taken = router_->take({request, cargo}, [&](routing::CommandRef c) {
+    Session& s = sessions_.at(at);
+    s.command = c;
+    waiting_[c] = at;
+    if (!streamed) return;
+    if (s.parser.passing().framing() == protocol::Framing::Length)
+      cargo->length = s.parser.passing().length();
+    begin_upload(at, s, cargo->upload, first, expects);
+  });
   using Taking = routing::Router::Taking;
   // Never reached the module, so nothing of it can have run: trying again is harmless.
   if (taken == Taking::Full) {
     on_.log.line("full", "the command table is full; a command was refused");
+    if (streamed) sessions_.at(at).keep_alive = false;
     respond(at, 503, {}, "too many commands are open");
   } else if (taken == Taking::Duplicate) {
     reject(at, 409, "a command had this X-Correlation-Id a moment ago");
@@ -150,6 +171,7 @@
 void HttpFront::respond(SlotRef at, int status, const Headers& headers, std::string_view body) {
   auto it = sessions_.find(at);
   if (it == sessions_.end()) return;
+  if (it->second.transfer) leave_upload(at, it->second), drop_transfer(at, it->second);
   bool keep = it->second.keep_alive && !closing_;
   on_.network.send(at, protocol::write_response(status, headers, body, keep));
   if (keep) return;
@@ -176,7 +198,16 @@
   work(at);  // what the client sent ahead
 }
 
-void HttpFront::served(routing::CommandRef command, std::string result) { answer(command, 200, {}, result); }
+void HttpFront::served(routing::CommandRef command, routing::Reply reply) {
+  if (!reply.rest) return answer(command, 200, reply.fields, reply.body);
+  auto it = waiting_.find(command);
+  if (it == waiting_.end()) return reply.rest->abandon();
+  SlotRef at = it->second;
+  waiting_.erase(it);
+  Session& s = sessions_.at(at);
+  s.command.reset();
+  begin_reply(at, s, std::move(reply));
+}
 
 void HttpFront::nack(routing::CommandRef command, stagehinge::Duration retry_after) {
   Headers headers;
@@ -205,6 +236,7 @@
 void HttpFront::forget(SlotRef at) {
   auto it = sessions_.find(at);
   leave_orders(it->second);
+  drop_transfer(at, it->second);
   on_.deadlines.drop(it->second.slow);
   on_.deadlines.drop(it->second.more);
   sessions_.erase(it);
--- a/src/program/http_front.h
+++ b/src/program/http_front.h
@@ -6,17 +6,19 @@
 
 #include "../routing/router.h"
 #include "platform.h"
+#include "streams.h"
 
 namespace oatledge::program {
 
 struct HttpCargo final : routing::Cargo {
   explicit HttpCargo(protocol::ClientCommand c) : command(std::move(c)) {}
   protocol::ClientCommand command;
+  std::optional<std::uint64_t> length;  // of an upload that passes through; nothing: chunks
 };
 
 class HttpFront final : public transport::Acceptor, public routing::ClientSide {
  public:
-  explicit HttpFront(Platform on) : on_(on) {}
+  HttpFront(Platform on, std::optional<Streaming> streaming) : on_(on), on_streams_(std::move(streaming)) {}
 
   void attach(routing::Router& router) { router_ = &router; }
   void set_ready() { ready_ = true; }
@@ -24,22 +26,33 @@
   // Answers close their connections from now on, and each call closes those that are idle.
   void close_connections();
   bool empty() const { return sessions_.empty(); }
+  void cut_streams();  // the time is over: replies that are on their way end here
 
   void on_accepted(transport::SlotRef connection) override;
   void on_bytes(transport::SlotRef connection, std::string_view bytes) override;
   void on_closed(transport::SlotRef connection, bool all_written) override;
+  void on_written(transport::SlotRef connection) override;
   bool shed_idle() override;
 
-  void served(routing::CommandRef command, std::string result) override;
+  void served(routing::CommandRef command, routing::Reply reply) override;
   void nack(routing::CommandRef command, stagehinge::Duration retry_after) override;
   void failed(routing::CommandRef command) override;
 
  private:
+  struct Transfer {                           // of bodies that pass through
+    std::shared_ptr<streaming::Pipe> upload;  // until the answer
+    protocol::BodyReader reader;              // of the upload
+    bool expects = false, ended = false;      // waits for "100 Continue"; the reply's end is sent
+    std::optional<Outflow> reply;
+    Progress uploads, replies;
+    transport::Deadlines::Handle stall;
+  };
   struct Session {
     protocol::Parser parser{protocol::Parser::Kind::Request};
     std::optional<routing::CommandRef> command;  // one at a time; what follows it waits in the parser
-    bool keep_alive = true, held = false;
-    std::uint64_t place = 0;                  // in fresh_ or idle_; 0: in neither
+    std::unique_ptr<Transfer> transfer;
+    bool keep_alive = true, held = false, old = false;  // old: HTTP/1.0
+    std::uint64_t place = 0;                            // in fresh_ or idle_; 0: in neither
     transport::Deadlines::Handle slow, more;  // a message that does not come whole; one that waits its turn
   };
   using Order = std::map<std::uint64_t, transport::SlotRef>;  // longest there first
@@ -47,6 +60,20 @@
   void work(transport::SlotRef connection);
   void handle(transport::SlotRef connection, protocol::Message message);
   void take_command(transport::SlotRef connection, protocol::Message message);
+  bool give_pipes(HttpCargo& cargo, bool uploads);
+  void stretch_patience(stagehinge::Request& request) const;
+  void begin_upload(transport::SlotRef connection, Session& s, std::shared_ptr<streaming::Pipe> upload,
+                    std::string_view first, bool expects);
+  void upload_room(transport::SlotRef connection);
+  void on_upload(transport::SlotRef connection, Session& s, std::string_view bytes);
+  void abort_upload(transport::SlotRef connection, int status, const std::string& why);
+  void leave_upload(transport::SlotRef connection, Session& s);
+  void begin_reply(transport::SlotRef connection, Session& s, routing::Reply reply);
+  void pump_reply(transport::SlotRef connection);
+  void end_reply(transport::SlotRef connection);
+  void cut_reply(transport::SlotRef connection, const std::string& why);
+  void watch_stall(transport::SlotRef connection, Transfer& t);
+  void drop_transfer(transport::SlotRef connection, Session& s);
   void take_news(transport::SlotRef connection, const protocol::Message& message);
   void respond(transport::SlotRef connection, int status, const protocol::Headers& headers,
                std::string_view body);
@@ -62,6 +89,7 @@
   void forget(transport::SlotRef connection);
 
   Platform on_;
+  std::optional<Streaming> on_streams_;
   routing::Router* router_ = nullptr;
   bool ready_ = false, draining_ = false, closing_ = false;
   std::map<transport::SlotRef, Session> sessions_;
--- a/src/program/http_instances.cpp
+++ b/src/program/http_instances.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+bool is_reply(const Message& head) { return head.status == 200; }
+
 constexpr std::size_t kMostIdle = 2;  // pooled connections an instance, for probes and withdrawals
 // How long a submit's last byte is held back on a connection that has come up: an instance that resets
 // connections does so within this of the first bytes.
@@ -40,12 +42,24 @@
                            std::shared_ptr<const routing::Cargo> cargo, stagehinge::Duration time_left) {
   auto it = instances_.find(instance);
   if (it == instances_.end()) return router_->attempt_ended(attempt, Outcome::Unreachable, {});
-  const auto& command = static_cast<const HttpCargo&>(*cargo).command;
+  const auto& http = static_cast<const HttpCargo&>(*cargo);
+  const auto& command = http.command;
+  // From its first byte; where that has been let go, routing has not asked for this.
+  if (cargo->upload && !cargo->upload->rewind())
+    return router_->attempt_ended(attempt, Outcome::Unreachable, {});
   ++it->second.attempts;
   active_[attempt] = {instance, command.id, std::nullopt};
   Call c;
   c.kind = Kind::Submit, c.instance = instance, c.attempt = attempt;
-  if (call(std::move(c), protocol::write_submit(command, it->second.address, time_left))) return;
+  c.reply = cargo->reply;
+  if (streaming_) c.parser.stream(is_reply, streaming_->most_body);
+  if (cargo->upload) {
+    c.stream = std::make_unique<Stream>(upload_stream(http));
+    if (call(std::move(c), protocol::write_submit_head(command, it->second.address, time_left, http.length)))
+      return cargo->upload->begin();
+  } else if (call(std::move(c), protocol::write_submit(command, it->second.address, time_left))) {
+    return;
+  }
   release(attempt);
   router_->attempt_ended(attempt, Outcome::Unreachable, {});
 }
@@ -127,7 +141,7 @@
     c.answer =
         on_.deadlines.add(on_.clock.now() + times_.probe, [this, r = *at] { end(r, Outcome::TimedOut); });
   if (c.attempt) active_.at(*c.attempt).connection = at;
-  if (c.kind == Kind::Submit) c.last = bytes.back(), bytes.pop_back();
+  if (c.kind == Kind::Submit && !c.stream) c.last = bytes.back(), bytes.pop_back();
   else if (!fresh) c.bytes = bytes;
   calls_.emplace(*at, std::move(c));
   on_.network.send(*at, std::move(bytes));
@@ -138,12 +152,17 @@
   auto it = calls_.find(at);
   if (it == calls_.end()) return;
   on_.deadlines.drop(it->second.connect);
-  if (!it->second.last.empty())
+  if (!it->second.last.empty() || it->second.stream)
     it->second.commit = on_.deadlines.add(on_.clock.now() + kHeldBack, [this, at] { commit(at); });
+  begin_upload(at);
 }
 
 void HttpInstances::commit(SlotRef at) {
-  if (auto it = calls_.find(at); it != calls_.end()) on_.network.send(at, std::exchange(it->second.last, {}));
+  auto it = calls_.find(at);
+  if (it == calls_.end()) return;
+  it->second.commit = {};
+  if (it->second.stream) return commit_upload(at, *it->second.stream);
+  on_.network.send(at, std::exchange(it->second.last, {}));
 }
 
 void HttpInstances::on_bytes(SlotRef at, std::string_view bytes) {
@@ -153,10 +172,13 @@
     on_.network.close(at);
     return;
   }
+  if (it->second.stream && it->second.stream->reply) return on_reply(at, bytes);
   it->second.parser.feed(bytes);
   try {
-    while (std::optional<Message> m = it->second.parser.next())
+    while (std::optional<Message> m = it->second.parser.next()) {
+      if (m->streamed) return begin_reply(at, std::move(*m));
       if (m->status / 100 != 1) return on_message(at, *m);
+    }
   } catch (const protocol::HttpError& e) {
     on_.log.line("instance", it->second.instance + ": malformed answer: " + e.what());
     end(at, Outcome::Failure);
@@ -164,27 +186,42 @@
 }
 
 void HttpInstances::on_message(SlotRef at, const Message& m) {
+  // Answered before all of its upload went out: a taken job gets the rest, any other ends with its
+  // connection.
+  bool whole = !calls_.at(at).stream || !calls_.at(at).stream->upload;
+  if (!whole && m.status == 202 && calls_.at(at).attempt) {
+    calls_.at(at).taken = true, calls_.at(at).keep = m.keep_alive;
+    return;
+  }
   Call c = std::move(calls_.at(at));
+  drop_stream(c);
   drop_call(at);
-  keep_or_close(at, c.instance, m.keep_alive && c.parser.idle() && c.last.empty());
+  keep_or_close(at, c.instance, whole && m.keep_alive && c.parser.idle() && c.last.empty());
   if (c.kind == Kind::Probe) {
     auto answer = protocol::read_probe_answer(m, on_.words);
     return router_->probe_ended(c.instance, *answer.end, answer.report);
   }
   if (!c.attempt) return;
-  auto answer = protocol::read_submit_answer(m, on_.words);
+  auto answer = protocol::read_submit_answer(m, on_.words, streaming_.has_value());
   if (!answer.end) {
     active_.at(*c.attempt).connection.reset();  // taken: its call-backs tell the rest
     return;
   }
   release(*c.attempt);
-  router_->attempt_ended(*c.attempt, *answer.end, answer.report);
+  routing::Reply reply;
+  if (answer.end == Outcome::Success) reply.fields = protocol::content_fields(m.headers), reply.body = m.body;
+  router_->attempt_ended(*c.attempt, *answer.end, answer.report, std::move(reply));
 }
 
 // A break before the last byte went out proves that the job never began; after it nothing does.
 void HttpInstances::on_closed(SlotRef at, bool all_written) {
   auto it = calls_.find(at);
   if (it == calls_.end()) return take_from_pool(at);
+  if (it->second.stream && it->second.stream->reply) {
+    it->second.stream->reader.closed();
+    it->second.keep = false;
+    return it->second.stream->reader.done() ? end_reply(at) : break_reply(at);
+  }
   std::optional<Message> last = it->second.parser.at_end();
   if (last) return on_message(at, *last);
   Call c = std::move(it->second);
@@ -198,13 +235,16 @@
     if (call(std::move(once_more), std::move(again))) return;
     return report_end(c, Outcome::Unreachable, {});
   }
-  report_end(c, all_written && c.last.empty() ? Outcome::Broken : Outcome::Unreachable, {});
+  bool begun = all_written && c.last.empty() && (!c.stream || !c.stream->upload || c.stream->sent);
+  drop_stream(c);
+  report_end(c, begun ? Outcome::Broken : Outcome::Unreachable, {});
 }
 
 void HttpInstances::end(SlotRef at, Outcome outcome) {
   auto it = calls_.find(at);
   if (it == calls_.end()) return;
   Call c = std::move(it->second);
+  drop_stream(c);
   drop_call(at);
   on_.network.close(at);
   // Guards jobs that must not run twice: a machine that says nothing may have vanished, and what is written
@@ -224,6 +264,7 @@
 void HttpInstances::drop_call(SlotRef at) {
   auto it = calls_.find(at);
   if (it == calls_.end()) return;
+  drop_stream(it->second);
   on_.deadlines.drop(it->second.connect);
   on_.deadlines.drop(it->second.commit);
   on_.deadlines.drop(it->second.answer);
--- a/src/program/http_instances.h
+++ b/src/program/http_instances.h
@@ -17,7 +17,8 @@
     transport::Duration probe{2000};
     bool reports = false;  // probes ask for the load
   };
-  HttpInstances(Platform on, Times times) : on_(on), times_(times) {}
+  HttpInstances(Platform on, Times times, std::optional<Streaming> streaming)
+      : on_(on), times_(times), streaming_(std::move(streaming)) {}
 
   void attach(routing::Router& router) { router_ = &router; }
   void update(const protocol::NameList& list);  // where the instances are; before the module hears of them
@@ -31,6 +32,7 @@
   void on_connected(transport::SlotRef connection) override;
   void on_bytes(transport::SlotRef connection, std::string_view bytes) override;
   void on_closed(transport::SlotRef connection, bool all_written) override;
+  void on_written(transport::SlotRef connection) override;
 
  private:
   struct Idle {
@@ -45,6 +47,15 @@
     std::vector<Idle> idle;    // the latest used last
   };
   enum class Kind { Submit, Withdraw, Probe };
+  struct Stream {                   // of bodies that pass through
+    std::optional<Outflow> upload;  // until all of it has gone out
+    std::optional<std::uint64_t> length;
+    bool up = false, committed = false, sent = false;  // sent: with its last byte
+    std::shared_ptr<streaming::Pipe> reply;            // once its head has come
+    protocol::BodyReader reader;                       // of the reply
+    Progress uploads, replies;
+    transport::Deadlines::Handle stall;
+  };
   struct Call {
     Kind kind = Kind::Submit;
     std::string instance;
@@ -52,6 +63,9 @@
     std::string bytes;                           // of a call on a used connection, to be made once more
     std::string last;                            // of a submit, while it is held back: its last byte
     protocol::Parser parser{protocol::Parser::Kind::Response};
+    std::unique_ptr<Stream> stream;
+    std::shared_ptr<streaming::Pipe> reply;  // for one that passes through
+    bool taken = false, keep = false;        // answered 202 before its upload was whole; to be kept then
     transport::Deadlines::Handle connect, commit, answer;
   };
   struct Active {  // an attempt that has not ended
@@ -59,6 +73,18 @@
     std::optional<transport::SlotRef> connection;  // until the instance has taken it
   };
 
+  Stream upload_stream(const HttpCargo& cargo);
+  void begin_upload(transport::SlotRef connection);
+  void pump_upload(transport::SlotRef connection);
+  void commit_upload(transport::SlotRef connection, Stream& s);
+  void finish_taken(transport::SlotRef connection);
+  void begin_reply(transport::SlotRef connection, protocol::Message message);
+  void reply_room(transport::SlotRef connection);
+  void on_reply(transport::SlotRef connection, std::string_view bytes);
+  void end_reply(transport::SlotRef connection);
+  void break_reply(transport::SlotRef connection);
+  void watch_stall(transport::SlotRef connection, Stream& s);
+  void drop_stream(Call& call);
   bool call(Call call, std::string bytes);  // false: no connection is to be had
   void commit(transport::SlotRef connection);
   void on_message(transport::SlotRef connection, const protocol::Message& message);
@@ -72,6 +98,7 @@
 
   Platform on_;
   Times times_;
+  std::optional<Streaming> streaming_;
   routing::Router* router_ = nullptr;
   std::unordered_map<std::string, Instance> instances_;
   std::map<transport::SlotRef, Call> calls_;
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,6 +1,7 @@
 // One dispatcher: reads its configuration, serves until SIGTERM, ends with 0 once all it had taken is
 // answered.
 #include <glib-unix.h>
+#include <CLI/CLI.hpp>
 
 #include <csignal>
 #include <cstdlib>
@@ -45,7 +46,7 @@
   return source;
 }
 
-void run() {
+void run(const features::Features& features) {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // one that comes before there is anything to reload must not end the program
   const transport::Duration to_steady = wall_to_steady();
@@ -60,7 +61,8 @@
   program::Shares shares = program::share_descriptors(config);
   transport::GioNetwork network(loop.context(), deadlines, clock, {shares.accepted, shares.connected},
                                 [&log](const std::string& text) { log.line("sockets", text); });
-  program::App app(config, network, deadlines, clock, log);
+  loop.after_sockets([&network] { network.serve_bulk(); });
+  program::App app(config, features, network, deadlines, clock, log);
   std::function<void()> terminate = [&app] { app.terminate(); };
   // Guards a serving program against a file that is half written or wrong: it goes on as it was.
   std::function<void()> reload = [&] {
@@ -81,8 +83,23 @@
 
 }  // namespace
 
-int main() try {
-  run();
+int main(int argc, char** argv) try {
+  CLI::App line{"One order dispatcher; the platform's settings come with ROUTER_CONFIG."};
+  std::string path;
+  line.add_option("--features", path, "the project's own settings, in protobuf text format")
+      ->type_name("FILE");
+  line.set_version_flag("--version", "oatledge " OATLEDGE_VERSION);
+  CLI::App* check = line.add_subcommand("check", "say what is wrong with a features file, and end");
+  check->add_option("--features", path, "the file")->type_name("FILE")->required();
+  CLI11_PARSE(line, argc, argv);
+  features::Features features;
+  if (!path.empty()) try {
+      features = features::read_features_file(path);
+    } catch (const features::BadFeatures& e) {  // lines of their own, as editors read them
+      std::fprintf(stderr, "%s\n", e.what());
+      return 1;
+    }
+  if (!check->parsed()) run(features);
   return 0;
 } catch (const std::exception& e) {
   std::fprintf(stderr, "oatledge: %s\n", e.what());
--- /dev/null
+++ b/src/program/streams.h
@@ -0,0 +1,76 @@
+// What the two HTTP sides share where bodies pass through: the settings, the memory, and how a connection
+// takes what a pipe holds.
+#pragma once
+
+#include <memory>
+
+#include "../protocol/body.h"
+#include "../streaming/pipe.h"
+#include "../transport/deadlines.h"
+#include "../transport/network.h"
+
+namespace oatledge::program {
+
+struct Streaming {              // there is one where the features file switches it on
+  std::uint64_t most_body = 0;  // bytes
+  std::size_t replay_bytes = 0;
+  transport::Duration stall{0};    // a side that is waited for moves nothing for this long
+  transport::Duration longest{0};  // X-Time-Left-Ms counts up to this
+  std::shared_ptr<streaming::Budget> budget;
+};
+
+// A pipe's way out: puts a framing on and gives the connection what there is.
+class Outflow {
+ public:
+  Outflow(std::shared_ptr<streaming::Pipe> pipe, protocol::Framing framing)
+      : pipe_(std::move(pipe)), writer_(framing) {}
+
+  // Nothing but the last `keep` bytes of a body of `length` goes out before they may.
+  void keep_last(std::uint64_t length, bool keep) {
+    kept_from_ = keep && length > 0 ? length - 1 : UINT64_MAX;
+  }
+  void pump(transport::Network& network, transport::SlotRef at) {
+    while (true) {
+      transport::Slice slice = pipe_->next(static_cast<std::size_t>(
+          std::min<std::uint64_t>(SIZE_MAX, kept_from_ - std::min(kept_from_, pipe_->taken()))));
+      if (slice.bytes.empty()) break;
+      writer_.piece(std::move(slice), [&](auto bytes) { network.send(at, std::move(bytes)); });
+      if (network.unsent(at) > kAhead) break;  // the rest waits in the pipe, where the source sees it
+    }
+    note_written(network, at);
+  }
+  bool taken_all() const { return pipe_->taken_all(); }
+  std::string end() const { return writer_.end(); }
+  const std::shared_ptr<streaming::Pipe>& pipe() const { return pipe_; }
+
+ private:
+  static constexpr std::size_t kAhead = 64 << 10;
+  // Framing counts as body here, so that never more is told as written than is.
+  void note_written(transport::Network& network, transport::SlotRef at) {
+    std::uint64_t unsent = network.unsent(at), taken = pipe_->taken();
+    pipe_->written(taken - std::min(taken, unsent));
+  }
+
+  std::shared_ptr<streaming::Pipe> pipe_;
+  protocol::BodyWriter writer_;
+  std::uint64_t kept_from_ = UINT64_MAX;
+};
+
+// When one side of one direction last moved something, and whether it is that side that is waited for.
+class Progress {
+ public:
+  void wait(transport::Time now, bool waited_for) {
+    if (waited_for && !waits_) moved_ = now;
+    waits_ = waited_for;
+  }
+  void moved(transport::Time now) { moved_ = now; }
+  bool stalled(transport::Time now, transport::Duration longest) const {
+    return waits_ && now - moved_ >= longest;
+  }
+
+ private:
+  bool waits_ = false;
+  transport::Time moved_{};
+};
+
+}  // namespace oatledge::program
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -84,22 +84,27 @@
 
 std::optional<Message> Parser::next() {
   if (stage_ == Stage::Head && !head()) return std::nullopt;
-  bool whole = stage_ == Stage::Body ? body() : stage_ == Stage::Chunk ? chunks() : false;
-  if (stage_ == Stage::UntilClose && buffer_.size() > most_body_) throw HttpError(413, "body too long");
-  if (!whole) return std::nullopt;
+  // All that has come at once and not chunk by chunk: tiny chunks must not cost the buffer's length each.
+  std::size_t used = body_.read(buffer_, [this](std::string_view bytes) { message_.body += bytes; });
+  buffer_.erase(0, used);
+  bool passes = streams_this_ && (!body_.done() || message_.body.size() > most_body_);
+  if (!passes && !body_.done()) return std::nullopt;
+  message_.streamed = passes;
   return take();
 }
 
 std::optional<Message> Parser::at_end() {
-  if (stage_ != Stage::UntilClose) return std::nullopt;
-  message_.body = std::move(buffer_);
-  buffer_.clear();
+  if (stage_ != Stage::Body) return std::nullopt;
+  body_.closed();
+  if (!body_.done()) return std::nullopt;
   message_.keep_alive = false;
   return take();
 }
 
 bool Parser::take_continue() { return std::exchange(expects_, false) && stage_ != Stage::Head; }
 
+BodyReader Parser::pass() { return std::exchange(body_, {}); }
+
 bool Parser::head() {
   // Some clients send an empty line after a body. All at once: a flood of them must not cost its length
   // squared.
@@ -149,6 +154,7 @@
   if (!version.starts_with("HTTP/")) throw HttpError(400, "not HTTP");
   if (version != "HTTP/1.1" && version != "HTTP/1.0") throw HttpError(505, "HTTP version not supported");
   message_.keep_alive = version == "HTTP/1.1";
+  message_.old = !message_.keep_alive;
 }
 
 void Parser::header_line(std::string_view line) {
@@ -175,76 +181,38 @@
   }
   // Guards against request smuggling: two framings of one message are two opinions on where the next begins.
   if (chunked && length) throw HttpError(400, "both Content-Length and Transfer-Encoding");
-  if (length.value_or(0) > most_body_) throw HttpError(413, "body too long");
   expects_ = same_name(message_.header("Expect"), "100-continue");
-  trailers_ = false, trailer_bytes_ = 0;
-  length_ = length.value_or(0);
   bool bodiless = message_.status == 204 || message_.status == 304 || message_.status / 100 == 1;
   bool until_close = kind_ == Kind::Response && !length && !chunked && !bodiless;
-  if (bodiless) length_ = 0;
-  stage_ = chunked ? Stage::Chunk : until_close ? Stage::UntilClose : Stage::Body;
-}
-
-bool Parser::body() {
-  if (buffer_.size() < length_) return false;
-  message_.body = buffer_.substr(0, length_);
-  buffer_.erase(0, length_);
-  return true;
-}
-
-// A line of the chunked framing from `at` on, which moves past it; nothing while it is not whole.
-std::optional<std::string_view> Parser::line(std::size_t& at) const {
-  std::size_t end = buffer_.find("\r\n", at);
-  if (std::min(end, buffer_.size()) - at > kMostHead) throw HttpError(400, "chunk line too long");
-  if (end == std::string::npos) return std::nullopt;
-  std::string_view text = std::string_view(buffer_).substr(at, end - at);
-  at = end + 2;
-  return text;
-}
-
-// Taken off the buffer once and not chunk by chunk: tiny chunks must not cost the buffer's length each.
-bool Parser::chunks() {
-  std::size_t done = 0;
-  bool whole = chunks_from(done);
-  buffer_.erase(0, done);
-  return whole;
-}
-
-bool Parser::chunks_from(std::size_t& done) {
-  while (true) {
-    std::size_t at = done;
-    auto text = line(at);
-    if (!text) return false;
-    if (trailers_) {
-      done = at;
-      if (text->empty()) return true;
-      if ((trailer_bytes_ += text->size()) > kMostHead) throw HttpError(431, "trailers too long");
-      continue;
-    }
-    auto size = whole_number(trim(text->substr(0, text->find(';'))), 16);
-    if (!size) throw HttpError(400, "malformed chunk");
-    if (*size > most_body_ || message_.body.size() + *size > most_body_)
-      throw HttpError(413, "body too long");
-    if (*size == 0) {
-      done = at;
-      trailers_ = true;
-      continue;
-    }
-    if (buffer_.size() < at + *size + 2) return false;
-    if (buffer_.compare(at + *size, 2, "\r\n") != 0) throw HttpError(400, "malformed chunk");
-    message_.body.append(buffer_, at, *size);
-    done = at + *size + 2;
-  }
+  if (bodiless) length = 0, chunked = false;
+  streams_this_ = streams_ && streams_(message_);
+  body_ = BodyReader(chunked       ? Framing::Chunked
+                     : until_close ? Framing::UntilClose
+                                   : Framing::Length,
+                     length.value_or(0), streams_this_ ? most_streamed_ : most_body_);
+  stage_ = Stage::Body;
 }
 
 Message Parser::take() {
   stage_ = Stage::Head;
   scanned_ = 0;
   expects_ = false;
+  if (!message_.streamed) body_ = {};
   if (buffer_.empty()) buffer_.shrink_to_fit();  // an idle connection keeps no 64 KiB
   return std::exchange(message_, {});
 }
 
+std::string write_head(const std::string& first_line, const Headers& headers) {
+  std::string out = first_line + "\r\n";
+  write_rest(out, headers, {}, false);
+  return out;
+}
+
+std::string write_response_head(int status, const Headers& headers, bool keep_alive) {
+  std::string first = "HTTP/1.1 " + std::to_string(status) + " " + reason(status);
+  return write_head(keep_alive ? first : first + "\r\nConnection: close", headers);
+}
+
 std::string write_request(std::string_view method, std::string_view target, const Headers& headers,
                           std::string_view body) {
   std::string out;
--- a/src/protocol/http.h
+++ b/src/protocol/http.h
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "body.h"
+
 namespace oatledge::protocol {
 
 constexpr std::size_t kMostBody = 64 << 10;
@@ -25,6 +27,8 @@
   Headers headers;
   std::string body;
   bool keep_alive = true;
+  bool old = false;       // HTTP/1.0: knows no chunks
+  bool streamed = false;  // only the head and what has come of the body; Parser::pass() has the rest
 
   // Empty when absent. A header given twice is read as its first.
   std::string_view header(std::string_view name) const;
@@ -39,7 +43,11 @@
 class Parser {
  public:
   enum class Kind { Request, Response };
+  using Streams = bool (*)(const Message& head);
   explicit Parser(Kind kind, std::size_t most_body = kMostBody) : kind_(kind), most_body_(most_body) {}
+  // Messages whose head `streams` accepts may have bodies of up to `most` bytes. They come whole from next()
+  // where they are whole already and no longer than an ordinary one, else as a head with `streamed` set.
+  void stream(Streams streams, std::uint64_t most) { streams_ = streams, most_streamed_ = most; }
 
   void feed(std::string_view bytes) { buffer_ += bytes; }
   std::optional<Message> next();    // a whole message, if there is one; throws HttpError
@@ -47,32 +55,34 @@
   bool idle() const { return stage_ == Stage::Head && buffer_.empty(); }
   std::size_t buffered() const { return buffer_.size(); }
   bool take_continue();  // once for a head that says "Expect: 100-continue" and whose body is not here yet
+  const BodyReader& passing() const { return body_; }
+  BodyReader pass();  // after a streamed message: reads the rest of its body, then this parser goes on
 
  private:
-  enum class Stage { Head, Body, Chunk, UntilClose };
+  enum class Stage { Head, Body };
 
   bool head();
   void start_line(std::string_view line);
   void header_line(std::string_view line);
   void framing();
-  bool body();
-  bool chunks();
-  bool chunks_from(std::size_t& done);
-  std::optional<std::string_view> line(std::size_t& at) const;
   Message take();
 
   Kind kind_;
   std::size_t most_body_;
+  Streams streams_ = nullptr;
+  std::uint64_t most_streamed_ = 0;
   std::string buffer_;
   std::size_t scanned_ = 0;
   Stage stage_ = Stage::Head;
   Message message_;
-  std::size_t length_ = 0, trailer_bytes_ = 0;
-  bool trailers_ = false, expects_ = false;
+  BodyReader body_;
+  bool expects_ = false, streams_this_ = false;
 };
 
 std::string write_request(std::string_view method, std::string_view target, const Headers& headers,
                           std::string_view body);
+std::string write_head(const std::string& first_line, const Headers& headers);
+std::string write_response_head(int status, const Headers& headers, bool keep_alive);
 std::string write_response(int status, const Headers& headers, std::string_view body, bool keep_alive);
 
 }  // namespace oatledge::protocol
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -186,11 +186,37 @@
 
 // ---- Instances ----
 
-std::string write_submit(const ClientCommand& c, const std::string& address, Duration time_left) {
+namespace {
+
+Headers submit_headers(const ClientCommand& c, const std::string& address, Duration time_left) {
   auto left = static_cast<std::int64_t>(std::max(0.0, std::floor(time_left.count())));
   Headers headers{{"Host", address}, {"X-Correlation-Id", c.id}, {"X-Time-Left-Ms", std::to_string(left)}};
   if (!c.key.empty()) headers.emplace_back("Idempotency-Key", c.key);
-  return write_request("POST", c.target, headers, c.body);
+  return headers;
+}
+
+}  // namespace
+
+std::string write_submit(const ClientCommand& c, const std::string& address, Duration time_left) {
+  return write_request("POST", c.target, submit_headers(c, address, time_left), c.body);
+}
+
+std::string write_submit_head(const ClientCommand& c, const std::string& address, Duration time_left,
+                              std::optional<std::uint64_t> length) {
+  Headers headers = submit_headers(c, address, time_left);
+  headers.insert(headers.end(), c.fields.begin(), c.fields.end());
+  if (length) headers.emplace_back("Content-Length", std::to_string(*length));
+  else headers.emplace_back("Transfer-Encoding", "chunked");
+  return write_head("POST " + c.target + " HTTP/1.1", headers);
+}
+
+Headers content_fields(const Headers& headers) {
+  Headers kept;
+  for (const auto& h : headers)
+    if (h.first.size() > 8 && same_name(std::string_view(h.first).substr(0, 8), "Content-") &&
+        !same_name(h.first, "Content-Length"))
+      kept.push_back(h);
+  return kept;
 }
 
 std::string write_withdraw(const std::string& id, const std::string& address) {
@@ -201,10 +227,12 @@
   return write_request("GET", with_report ? "/status/load" : "/health", {{"Host", address}}, {});
 }
 
-InstanceAnswer read_submit_answer(const Message& m, const Vocabulary& words) {
+InstanceAnswer read_submit_answer(const Message& m, const Vocabulary& words, bool replies) {
   InstanceAnswer a;
   if (m.status == 202) return a;
-  a.end = never_ran(m) ? Outcome::Overloaded : Outcome::Failure;
+  a.end = replies && m.status == 200 ? Outcome::Success
+          : never_ran(m)             ? Outcome::Overloaded
+                                     : Outcome::Failure;
   a.report = read_load_text(m.header("X-Backend-Load"), words);
   return a;
 }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -23,7 +23,8 @@
 // What the settings call things, in the order of the module's indices.
 struct Vocabulary {
   std::vector<std::string> classes, tenants, zones, kinds, report_columns;
-  std::vector<bool> keyed;  // by class
+  std::vector<bool> keyed;                      // by class
+  std::vector<stagehinge::Duration> deadlines;  // by class
   stagehinge::settings::Columns columns;
   // A wall-clock start as a time of the module's clock. The distance is read once, at the program's start:
   // the module takes a changed time for a restart, so the same start must always give the same time.
@@ -38,6 +39,7 @@
 struct ClientCommand {
   stagehinge::Request request;
   std::string id, target, key, body;  // as they came: they pass on unchanged
+  Headers fields;                     // of a streamed one, on its content
 };
 stagehinge::RequestId read_id(std::string_view text);  // sixteen hex digits; throws Refused
 bool is_command_path(std::string_view target);
@@ -47,6 +49,9 @@
 
 std::string write_submit(const ClientCommand& command, const std::string& address,
                          stagehinge::Duration time_left);
+// The head alone, where the body passes through: `length` of it, or chunks.
+std::string write_submit_head(const ClientCommand& command, const std::string& address,
+                              stagehinge::Duration time_left, std::optional<std::uint64_t> length);
 std::string write_withdraw(const std::string& id, const std::string& address);
 std::string write_probe(bool with_report, const std::string& address);
 
@@ -54,7 +59,9 @@
   std::optional<stagehinge::Outcome> end;  // nothing: taken, its call-backs tell the rest
   stagehinge::LoadReport report;
 };
-InstanceAnswer read_submit_answer(const Message& m, const Vocabulary& words);
+// `replies`: an answer 200 is the reply itself.
+InstanceAnswer read_submit_answer(const Message& m, const Vocabulary& words, bool replies = false);
+Headers content_fields(const Headers& headers);  // what tells of the content, but for its length
 InstanceAnswer read_probe_answer(const Message& m, const Vocabulary& words);
 
 struct News {
--- a/src/routing/ports.h
+++ b/src/routing/ports.h
@@ -5,10 +5,14 @@
 
 #include <stagehinge/dispatcher.h>
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "../streaming/pipe.h"
 #include "../transport/slots.h"
 
 namespace oatledge::routing {
@@ -18,13 +22,25 @@
 // What a command carries from the client side to the instance side; routing never looks inside.
 struct Cargo {
   virtual ~Cargo() = default;
+  std::shared_ptr<streaming::Pipe> upload;  // the command's body, where it passes through as it comes
+  std::shared_ptr<streaming::Pipe> reply;   // for a reply that does; it owns its memory from the start
+};
+
+// What an instance made of a command.
+struct Reply {
+  std::string body;                                         // whole, unless `rest` is there
+  std::vector<std::pair<std::string, std::string>> fields;  // of the content: a name and a value each
+  std::optional<std::uint64_t> length;                      // of all of `rest`, where it is known ahead
+  std::shared_ptr<streaming::Pipe> rest;                    // the body as it comes, instead of `body`
 };
 
 // Each of these is the command's one final answer.
 class ClientSide {
  public:
   virtual ~ClientSide() = default;
-  virtual void served(CommandRef command, std::string result) = 0;
+  // A reply that passes through is answered with its first byte. Where it breaks off after that, the client
+  // must be able to tell, and no other answer follows.
+  virtual void served(CommandRef command, Reply reply) = 0;
   virtual void nack(CommandRef command, stagehinge::Duration retry_after) = 0;  // 0: no advice
   virtual void failed(CommandRef command) = 0;
 };
@@ -35,7 +51,9 @@
   auto operator<=>(const AttemptRef&) const = default;
 };
 
-// How each ends comes back through Router::attempt_ended() or probe_ended(), once.
+// A cargo's upload goes out as it comes. While a byte of it is still missing the job has not begun, and an
+// end by then is told as Unreachable. How each ends comes back through Router::attempt_ended() or
+// probe_ended(), once.
 class InstanceSide {
  public:
   virtual ~InstanceSide() = default;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -9,6 +9,7 @@
 
 using stagehinge::Action;
 using stagehinge::ActionKind;
+using stagehinge::Duration;
 using stagehinge::LoadReport;
 using stagehinge::Outcome;
 
@@ -52,7 +53,8 @@
 Router::Taking Router::take(NewCommand n, const std::function<void(CommandRef)>& known) {
   if (by_id_.contains(n.request.id)) return Taking::Duplicate;
   Command c;
-  c.id = n.request.id, c.cargo = std::move(n.cargo), c.ends = clock_.now() + n.request.patience;
+  c.id = n.request.id, c.cargo = std::move(n.cargo),
+  c.ends = clock_.now() + n.request.patience + n.request.transfer;
   std::optional<CommandRef> ref = table_.insert(std::move(c));
   if (!ref) return Taking::Full;
   by_id_[n.request.id] = *ref;
@@ -84,8 +86,9 @@
   if ((c = table_.find(ref))) close_answered(ref, *c);
 }
 
-void Router::attempt_ended(AttemptRef ref, Outcome outcome, const LoadReport& report) {
-  post([=, this] { end_attempt(ref, outcome, report, {}); });
+void Router::attempt_ended(AttemptRef ref, Outcome outcome, const LoadReport& report, Reply reply) {
+  post(
+      [=, this, reply = std::move(reply)]() mutable { end_attempt(ref, outcome, report, std::move(reply)); });
 }
 
 void Router::progress(Progress news) {
@@ -100,7 +103,7 @@
     if (attempt < 0) return;
     if (!news.started && !news.progress) {
       ports_.instances.settled({ref, attempt});
-      return end_attempt({ref, attempt}, news.outcome, news.report, std::move(news.result));
+      return end_attempt({ref, attempt}, news.outcome, news.report, {std::move(news.result), {}, {}, {}});
     }
     std::vector<Action> actions;
     auto kind = news.started ? stagehinge::NoteKind::Started : stagehinge::NoteKind::Progress;
@@ -174,7 +177,7 @@
   int attempt = static_cast<int>(c->attempts.size());
   // Past the end, past the deadline or past the last attempt allowed nothing goes out; the module learns it
   // as the simulator told it.
-  bool sent = !c->answered && clock_.now() < c->ends && attempt < settings_.max_attempts;
+  bool sent = !c->answered && clock_.now() < c->ends && attempt < settings_.max_attempts && !spent(*c);
   c->attempts.push_back({instance, sent});
   if (sent) return ports_.instances.submit({ref, attempt}, instance, c->cargo, c->ends - clock_.now());
   post([=, this, id = a.id, final = c->answered] {
@@ -206,19 +209,40 @@
 
 // ---- Ends ----
 
-void Router::end_attempt(AttemptRef ref, Outcome outcome, const LoadReport& report, std::string result) {
+void Router::end_attempt(AttemptRef ref, Outcome outcome, const LoadReport& report, Reply reply) {
   Command* c = table_.find(ref.command);
-  if (!c || ref.attempt >= std::ssize(c->attempts) || !c->attempts[ref.attempt].open) return;
+  bool open = c && ref.attempt < std::ssize(c->attempts) && c->attempts[ref.attempt].open;
+  bool serves = open && outcome == Outcome::Success && !c->answered;
+  if (reply.rest && !serves) reply.rest->abandon();  // nobody will take it
+  if (!open) return;
   c->attempts[ref.attempt].open = false;
-  if (outcome == Outcome::Success && !c->answered) {
+  if (serves) {
     c->answered = true;
     --open_;
-    ports_.clients.served(ref.command, std::move(result));
+    ports_.clients.served(ref.command, std::move(reply));
+  } else if (!c->answered && spent(*c)) {
+    give_up_spent(ref.command, *c, outcome);
   }
   tell_end(c->id, ref.attempt, c->answered, std::string(c->attempts[ref.attempt].instance), outcome, report);
   if ((c = table_.find(ref.command))) close_answered(ref.command, *c);
 }
 
+// A part of its upload has gone out and been let go: it cannot be sent a second time.
+bool Router::spent(const Command& c) const { return c.cargo->upload && !c.cargo->upload->replayable(); }
+
+// The answer comes from here, and the module is told that the command has ended with this attempt: it would
+// otherwise choose another instance for something that is not there any more. A job begins with the last byte
+// of its upload, so the end before that is a refusal that is true, for any class.
+void Router::give_up_spent(CommandRef ref, Command& c, Outcome outcome) {
+  bool whole = c.cargo->upload->taken_all();
+  bool never_began = outcome == Outcome::Unreachable || outcome == Outcome::Overloaded ||
+                     (outcome == Outcome::Withdrawn && !whole);
+  c.answered = true;
+  --open_;
+  if (never_began) ports_.clients.nack(ref, Duration(0));
+  else ports_.clients.failed(ref);
+}
+
 void Router::tell_end(stagehinge::RequestId id, int attempt, bool final, const std::string& instance,
                       Outcome outcome, const LoadReport& report) {
   stagehinge::AttemptEnd e;
@@ -236,8 +260,11 @@
     Command* c = table_.find(ref);
     for (int i = 0; c && i < std::ssize(c->attempts); c = table_.find(ref), ++i)
       if (c && c->attempts[i].open) {
-        ports_.instances.settled({ref, i});
-        end_attempt({ref, i}, Outcome::TimedOut, {}, {});
+        // An upload that is still on its way says nothing of its instance, which must not wait for the rest.
+        bool unfinished = c->cargo->upload && !c->cargo->upload->taken_all();
+        if (unfinished) ports_.instances.withdraw({ref, i});
+        else ports_.instances.settled({ref, i});
+        end_attempt({ref, i}, unfinished ? Outcome::Withdrawn : Outcome::TimedOut, {}, {});
       }
     post([this, ref] {
       Command* late = table_.find(ref);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -47,7 +47,8 @@
   enum class Taking { Taken, Full, Duplicate };
   Taking take(NewCommand command, const std::function<void(CommandRef)>& known);
   void client_gone(CommandRef command);
-  void attempt_ended(AttemptRef attempt, stagehinge::Outcome outcome, const stagehinge::LoadReport& report);
+  void attempt_ended(AttemptRef attempt, stagehinge::Outcome outcome, const stagehinge::LoadReport& report,
+                     Reply reply = {});
   void progress(Progress news);
   void probe_ended(const std::string& instance, stagehinge::Outcome outcome,
                    const stagehinge::LoadReport& report);
@@ -77,7 +78,9 @@
   void answer(const stagehinge::Action& action);
   void cancel(const stagehinge::Action& action);
   void end_attempt(AttemptRef ref, stagehinge::Outcome outcome, const stagehinge::LoadReport& report,
-                   std::string result);
+                   Reply reply);
+  bool spent(const Command& c) const;
+  void give_up_spent(CommandRef ref, Command& c, stagehinge::Outcome outcome);
   void tell_end(stagehinge::RequestId id, int attempt, bool final, const std::string& instance,
                 stagehinge::Outcome outcome, const stagehinge::LoadReport& report);
   void time_up(CommandRef ref);
--- /dev/null
+++ b/src/streaming/budget.cpp
@@ -0,0 +1,43 @@
+#include "budget.h"
+
+#include <algorithm>
+
+namespace oatledge::streaming {
+
+Budget::Budget(std::size_t ceiling, std::size_t window)
+    : total_(std::max<std::size_t>(1, ceiling / kChunk)),
+      window_(std::max<std::size_t>(1, window / kChunk)) {}
+
+void Budget::use(std::size_t chunks) {
+  used_ += chunks;
+  most_used_ = std::max(most_used_, used_);
+}
+
+std::optional<Budget::Lane> Budget::open() {
+  if (!spare(1)) return std::nullopt;
+  use(1);
+  return Lane(*this);
+}
+
+Budget::Lane::~Lane() {
+  if (budget_) budget_->used_ -= std::max<std::size_t>(held_, 1);
+}
+
+// With h held and f free, one more is allowed while h stays under f. So the answer for several at once is the
+// largest k for which h + k - 1 < f - (k - 1): each one taken leaves one less free.
+std::size_t Budget::Lane::may_take() const {
+  std::size_t own = held_ == 0 ? 1 : 0;  // owned from the start
+  std::size_t held = held_ + own, free = budget_->total_ - std::min(budget_->total_, budget_->used_);
+  std::size_t beyond = free > held ? (free - held + 1) / 2 : 0;
+  return own + std::min(beyond, budget_->window_ - std::min(budget_->window_, held));
+}
+
+void Budget::Lane::take() {
+  if (held_++ > 0) budget_->use(1);
+}
+
+void Budget::Lane::give() {
+  if (--held_ > 0) --budget_->used_;
+}
+
+}  // namespace oatledge::streaming
--- a/src/transport/gio_network.cpp
+++ b/src/transport/gio_network.cpp
@@ -16,6 +16,11 @@
 constexpr Duration kAcceptPause{20};  // after running out of descriptors, or where nothing can be spared
 constexpr int kAcceptsATurn = 64;     // then the other sockets are looked at first
 constexpr int kBacklog = 1024;
+constexpr std::size_t kReadAtOnce = 16 << 10, kReadATurn = 64 << 10;  // of one connection
+// Of all bulk connections together in one turn: some tenths of a millisecond, which is what an ordinary
+// message may have to wait for them.
+constexpr std::size_t kBulkATurn = 256 << 10;
+constexpr std::size_t kPartsAtOnce = 64;  // slices in one gathered write
 
 ObjectPtr<GSocketAddress> parse_address(const std::string& text) {
   std::size_t colon = text.rfind(':');
@@ -45,7 +50,8 @@
       clock_(clock),
       limits_(limits),
       complain_(std::move(complain)),
-      table_(limits.accepted + limits.connected) {}
+      table_(limits.accepted + limits.connected),
+      scratch_(kReadATurn) {}
 
 GioNetwork::~GioNetwork() {
   for (SlotRef ref : table_.refs()) remove(ref);
@@ -116,7 +122,7 @@
     acceptor_->on_accepted(*ref);
     // A service client sends as soon as it has connected: its command is read before the next newcomer could
     // take this connection for a silent one and have it closed.
-    on_readable(*ref);
+    on_readable(*ref, kReadATurn);
   }
 }
 
@@ -167,28 +173,67 @@
 
 gboolean GioNetwork::ready(GSocket*, GIOCondition condition, gpointer data) {
   Watch at = *static_cast<Watch*>(data);  // a copy: what follows may destroy this very source
-  Connection* c = at.network->table_.find(at.ref);
+  GioNetwork& n = *at.network;
+  Connection* c = n.table_.find(at.ref);
   if (!c) return G_SOURCE_REMOVE;
   bool writing = c->state == State::Connecting || ((condition & G_IO_OUT) != 0 && !c->unsent.empty());
-  if (writing) at.network->on_writable(at.ref);
-  else if (c->held) at.network->broken(at.ref);  // no input is asked for: it can only have been reset
-  else at.network->on_readable(at.ref);
+  if (c->bulk && c->state != State::Connecting) {
+    (writing ? c->may_write : c->may_read) = true;
+    if (!std::exchange(c->queued, true)) n.bulk_.push_back(at.ref);
+  } else if (writing) {
+    n.on_writable(at.ref);
+  } else if (c->held) {
+    n.broken(at.ref);  // no input is asked for: it can only have been reset
+  } else {
+    n.on_readable(at.ref, kReadATurn);
+  }
   return G_SOURCE_CONTINUE;
 }
 
-void GioNetwork::on_readable(SlotRef ref) {
-  std::array<char, 1 << 14> bytes;
-  for (int i = 0; i < 4; ++i) {  // then the others' turn
+// Guards ordinary messages against long bodies: fairness is in bytes. Whoever is ready is served in the order
+// of waiting until the turn's bytes are spent; the others are the first of the next turn.
+void GioNetwork::serve_bulk() {
+  std::size_t left = kBulkATurn;
+  for (std::size_t n = bulk_.size(); n > 0 && left > 0; --n) {
+    SlotRef ref = bulk_.front();
+    bulk_.pop_front();
     Connection* c = table_.find(ref);
-    if (!c || c->held) return;
+    if (!c) continue;
+    c->queued = false;
+    bool read = std::exchange(c->may_read, false);
+    std::size_t before = c->unsent.size(), done = 0;
+    if (std::exchange(c->may_write, false)) {
+      on_writable(ref);
+      if ((c = table_.find(ref))) done = before - std::min(before, c->unsent.size());
+    }
+    if (c && read && c->held) broken(ref);
+    else if (c && read) done += on_readable(ref, std::min(kReadATurn, left));
+    left -= std::min(left, std::max<std::size_t>(done, 1));
+  }
+}
+
+std::size_t GioNetwork::on_readable(SlotRef ref, std::size_t most) {
+  std::size_t done = 0;
+  while (done < most) {  // then the others' turn
+    Connection* c = table_.find(ref);
+    if (!c || c->held) break;
+    // A bulk one in as few calls as can be; else little at once, as the head of a long body may be among it.
+    std::size_t room = std::min({c->granted, most - done, c->bulk ? kReadATurn : kReadAtOnce});
     Error error;
-    gssize n = g_socket_receive(c->socket.get(), bytes.data(), bytes.size(), nullptr, error.out());
-    if (n < 0 && error.is(G_IO_ERROR_WOULD_BLOCK)) return;
-    if (n <= 0) return broken(ref);
-    if (c->state != State::Open) return;  // thrown away, a little each turn
-    c->handler->on_bytes(ref, {bytes.data(), static_cast<std::size_t>(n)});
-    if (static_cast<std::size_t>(n) < bytes.size()) return;
+    gssize n = g_socket_receive(c->socket.get(), scratch_.data(), room, nullptr, error.out());
+    if (n < 0 && error.is(G_IO_ERROR_WOULD_BLOCK)) break;
+    if (n <= 0) {
+      broken(ref);
+      break;
+    }
+    auto got = static_cast<std::size_t>(n);
+    done += got;
+    if (c->state != State::Open) break;  // thrown away, a little each turn
+    if (c->granted != SIZE_MAX && (c->granted -= got) == 0) set_held(ref, *c, true);
+    c->handler->on_bytes(ref, {scratch_.data(), got});
+    if (got < room) break;
   }
+  return done;
 }
 
 void GioNetwork::on_writable(SlotRef ref) {
@@ -204,39 +249,66 @@
     c = table_.find(ref);
     if (!c || c->unsent.empty()) return;
   }
+  std::size_t before = c->unsent.size();
   flush(ref, *c);
+  if (c->bulk && c->state == State::Open && c->unsent.size() < before) c->handler->on_written(ref);
 }
 
 void GioNetwork::send(SlotRef ref, std::string bytes) {
   Connection* c = table_.find(ref);
   if (!c || c->state == State::Lingering) return;
-  if (c->unsent.empty()) c->unsent = std::move(bytes);
-  else c->unsent += bytes;
+  std::size_t done = 0;
+  if (c->unsent.empty() && c->state == State::Open) {  // most messages go out whole, and need not be kept
+    Error error;
+    gssize n = g_socket_send(c->socket.get(), bytes.data(), bytes.size(), nullptr, error.out());
+    if (n < 0 && !error.is(G_IO_ERROR_WOULD_BLOCK)) return break_later(ref, *c);
+    done = n < 0 ? 0 : static_cast<std::size_t>(n);
+    if (done == bytes.size()) return;
+  }
+  c->unsent.push(std::move(bytes), done);
+  if (c->state != State::Connecting) flush(ref, *c);
+}
+
+void GioNetwork::send(SlotRef ref, Slice bytes) {
+  Connection* c = table_.find(ref);
+  if (!c || c->state == State::Lingering) return;
+  c->unsent.push(std::move(bytes));
   if (c->state != State::Connecting) flush(ref, *c);
 }
 
+std::size_t GioNetwork::unsent(SlotRef ref) {
+  Connection* c = table_.find(ref);
+  return c ? c->unsent.size() : 0;
+}
+
+// Guards against EPIPE and peers that never read: told as a break in the next turn.
+void GioNetwork::break_later(SlotRef ref, Connection& c) {
+  c.reads.reset();
+  c.writes.reset();
+  if (c.end.order == 0) c.end = deadlines_.add(clock_.now(), [this, ref] { broken(ref); });
+}
+
 // Never calls the handler: an error found here shows again when the connection is read.
 void GioNetwork::flush(SlotRef ref, Connection& c) {
-  std::size_t done = 0;
-  bool failed = false;
-  while (done < c.unsent.size()) {
+  while (!c.unsent.empty()) {
+    std::array<GOutputVector, kPartsAtOnce> parts;
+    int count = 0;
+    std::size_t offered = 0;
+    c.unsent.first(parts.size(), [&](std::string_view bytes) {
+      parts[static_cast<std::size_t>(count++)] = {bytes.data(), bytes.size()};
+      offered += bytes.size();
+    });
     Error error;
-    gssize n =
-        g_socket_send(c.socket.get(), c.unsent.data() + done, c.unsent.size() - done, nullptr, error.out());
-    if (n < 0) {
-      failed = !error.is(G_IO_ERROR_WOULD_BLOCK);
-      break;
-    }
-    done += static_cast<std::size_t>(n);
-  }
-  c.unsent.erase(0, done);
-  if (failed || c.unsent.size() > kMostUnsent) {
-    // Guards against EPIPE and peers that never read: told as a break in the next turn.
-    c.reads.reset();
-    c.writes.reset();
-    if (c.end.order == 0) c.end = deadlines_.add(clock_.now(), [this, ref] { broken(ref); });
-    return;
+    gssize n = count == 1 ? g_socket_send(c.socket.get(), static_cast<const char*>(parts[0].buffer), offered,
+                                          nullptr, error.out())
+                          : g_socket_send_message(c.socket.get(), nullptr, parts.data(), count, nullptr, 0, 0,
+                                                  nullptr, error.out());
+    if (n < 0 && !error.is(G_IO_ERROR_WOULD_BLOCK)) return break_later(ref, c);
+    if (n < 0) break;
+    c.unsent.drop(static_cast<std::size_t>(n));
+    if (static_cast<std::size_t>(n) < offered) break;  // the network is full; the next call would say so
   }
+  if (!c.bulk && c.unsent.size() > kMostUnsent) return break_later(ref, c);
   if (!c.unsent.empty()) {
     if (!c.writes) c.writes = watch(ref, c, G_IO_OUT);
     return;
@@ -271,11 +343,23 @@
   return c && (g_socket_condition_check(c->socket.get(), G_IO_IN) & G_IO_IN) != 0;
 }
 
-void GioNetwork::hold(SlotRef ref, bool held) {
+void GioNetwork::hold(SlotRef ref, bool held) { grant(ref, held ? 0 : SIZE_MAX); }
+
+void GioNetwork::grant(SlotRef ref, std::size_t bytes) {
   Connection* c = table_.find(ref);
-  if (!c || c->held == held || c->state == State::Connecting || (held && c->state != State::Open)) return;
-  c->held = held;
-  if (c->reads) c->reads = watch(ref, *c, held ? GIOCondition(0) : G_IO_IN);  // a reset still shows
+  if (!c || c->state == State::Connecting || (bytes == 0 && c->state != State::Open)) return;
+  c->granted = bytes;
+  set_held(ref, *c, bytes == 0);
+}
+
+void GioNetwork::set_held(SlotRef ref, Connection& c, bool held) {
+  if (c.held == held) return;
+  c.held = held;
+  if (c.reads) c.reads = watch(ref, c, held ? GIOCondition(0) : G_IO_IN);  // a reset still shows
+}
+
+void GioNetwork::bulk(SlotRef ref, bool on) {
+  if (Connection* c = table_.find(ref)) c->bulk = on;
 }
 
 void GioNetwork::broken(SlotRef ref) {
--- a/src/transport/gio_network.h
+++ b/src/transport/gio_network.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "deadlines.h"
 #include "glib.h"
@@ -28,10 +29,15 @@
   std::optional<SlotRef> connect(const std::string& address, ConnectionHandler& handler,
                                  Urgency urgency) override;
   void send(SlotRef connection, std::string bytes) override;
+  void send(SlotRef connection, Slice bytes) override;
+  std::size_t unsent(SlotRef connection) override;
   void finish(SlotRef connection) override;
   void close(SlotRef connection) override;
   bool unread(SlotRef connection) override;
   void hold(SlotRef connection, bool held) override;
+  void grant(SlotRef connection, std::size_t bytes) override;
+  void bulk(SlotRef connection, bool on) override;
+  void serve_bulk();  // once a turn, after the sockets: bulk connections that are ready, in turn
 
  private:
   enum class State { Connecting, Open, Flushing, Lingering };
@@ -39,9 +45,12 @@
     ObjectPtr<GSocket> socket;
     ConnectionHandler* handler = nullptr;
     bool accepted = false, held = false;
+    bool bulk = false, may_read = false, may_write = false;  // the latter two: of a bulk one, seen by poll
+    bool queued = false;                                     // in bulk_
+    std::size_t granted = SIZE_MAX;                          // bytes that on_bytes() may still bring
     State state = State::Open;
     int priority = G_PRIORITY_DEFAULT;
-    std::string unsent;
+    OutBuffer unsent;
     SourcePtr reads, writes;
     Deadlines::Handle end;  // of connecting's immediate failure, or of finishing
   };
@@ -57,9 +66,11 @@
   bool make_room();
   void pause_accepting();
   void resume_accepting();
-  void on_readable(SlotRef ref);
+  std::size_t on_readable(SlotRef ref, std::size_t most);  // how many bytes it read
   void on_writable(SlotRef ref);
   void flush(SlotRef ref, Connection& c);
+  void break_later(SlotRef ref, Connection& c);
+  void set_held(SlotRef ref, Connection& c, bool held);
   void broken(SlotRef ref);
   void remove(SlotRef ref);
 
@@ -70,6 +81,8 @@
   Complain complain_;
   SlotTable<Connection> table_;
   std::size_t accepted_ = 0, connected_ = 0;
+  std::vector<char> scratch_;      // what is read lies here while a handler looks at it
+  std::deque<SlotRef> bulk_;       // those that are ready, the longest waiting first
   std::deque<SlotRef> finishing_;  // accepted connections on their way out, the longest first
   ObjectPtr<GSocket> listener_;
   SourcePtr accepts_;
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -35,6 +35,7 @@
   }
   g_source_set_ready_time(wake_.get(), ready);
   g_main_context_iteration(context_.get(), TRUE);
+  if (after_sockets_) after_sockets_();
   deadlines_.sweep(clock_.now());
 }
 
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -1,6 +1,8 @@
 // The turn of the program: wait for sockets, let GLib serve them, sweep the deadlines.
 #pragma once
 
+#include <functional>
+
 #include "deadlines.h"
 #include "glib.h"
 
@@ -10,12 +12,15 @@
  public:
   Loop(Deadlines& deadlines, const Clock& clock);
   GMainContext* context() { return context_.get(); }
+  // Called in each turn between the sockets and the deadlines.
+  void after_sockets(std::function<void()> call) { after_sockets_ = std::move(call); }
   void turn();
 
  private:
   Deadlines& deadlines_;
   const Clock& clock_;
   ContextPtr context_;
+  std::function<void()> after_sockets_;
   GSourceFuncs wake_functions_;  // GLib keeps a pointer to it: before the source, so that it outlives it
   SourcePtr wake_;  // the one timed source: it only ends the wait when the earliest deadline comes
 };
--- a/src/transport/network.h
+++ b/src/transport/network.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "buffer.h"
 #include "slots.h"
 
 namespace oatledge::transport {
@@ -18,6 +19,8 @@
   virtual void on_bytes(SlotRef connection, std::string_view bytes) = 0;
   // The peer or the network ended it. `all_written`: it had come up and every byte given to send() went out.
   virtual void on_closed(SlotRef connection, bool all_written) = 0;
+  // A bulk connection has written more of what waited. Told from the loop, never from inside send().
+  virtual void on_written(SlotRef) {}
 };
 
 class Acceptor : public ConnectionHandler {
@@ -34,12 +37,19 @@
   virtual std::optional<SlotRef> connect(const std::string& address, ConnectionHandler& handler,
                                          Urgency urgency) = 0;  // nothing: no descriptor is to be had
   virtual void send(SlotRef connection, std::string bytes) = 0;
-  virtual void finish(SlotRef connection) = 0;  // close in good order once all is written
-  virtual void close(SlotRef connection) = 0;   // at once
+  virtual void send(SlotRef connection, Slice bytes) = 0;
+  virtual std::size_t unsent(SlotRef connection) = 0;  // bytes given to send() that have not gone out
+  virtual void finish(SlotRef connection) = 0;         // close in good order once all is written
+  virtual void close(SlotRef connection) = 0;          // at once
   // Whether the peer has sent what on_bytes() has not brought yet: a close would destroy it.
   virtual bool unread(SlotRef connection) = 0;
   // No on_bytes() while held: what the peer sends waits in the network, and then so does the peer.
   virtual void hold(SlotRef connection, bool held) = 0;
+  // The same by the byte: on_bytes() brings at most so many from now on, then the connection is held.
+  virtual void grant(SlotRef connection, std::size_t bytes) = 0;
+  // A bulk connection carries a long body: its sender watches unsent() itself, so there is no limit to what
+  // waits, and it is served after the others, a bounded number of bytes a turn.
+  virtual void bulk(SlotRef connection, bool on) = 0;
 };
 
 }  // namespace oatledge::transport
--- a/tests/net/exchanges_test.cpp
+++ b/tests/net/exchanges_test.cpp
@@ -10,7 +10,8 @@
 TEST_CASE("recorded exchanges") {
   std::string folder = OATLEDGE_NET_TESTS;
   // Parts that others play and that are no exchange of their own.
-  const std::set<std::string> parts{"start", "order", "order2", "taken", "group"};
+  const std::set<std::string> parts{"start",   "order",  "order2",      "taken", "group",
+                                    "streams", "upload", "long_upload", "reply"};
   std::set<std::string> names;
   for (const auto& entry : std::filesystem::directory_iterator(folder + "/exchanges"))
     if (entry.path().extension() == ".txt") names.insert(entry.path().stem().string());
--- a/tests/net/player.h
+++ b/tests/net/player.h
@@ -31,7 +31,8 @@
   struct End {
     std::string name, address, sent;  // no name: the file has not met this connection yet
     transport::ConnectionHandler* handler = nullptr;
-    bool closed = false, finished = false, held = false, unread = false;
+    bool closed = false, finished = false, unread = false, stuck = false;
+    std::size_t granted = SIZE_MAX;
   };
   std::map<transport::SlotRef, End> ends;
   int spare = -1;  // descriptors for connections that the program opens; -1: any number
@@ -48,13 +49,20 @@
     return add({"", address, "", &handler});
   }
   void send(transport::SlotRef ref, std::string bytes) override { ends.at(ref).sent += bytes; }
+  void send(transport::SlotRef ref, transport::Slice bytes) override { ends.at(ref).sent += bytes.bytes; }
+  std::size_t unsent(transport::SlotRef ref) override {
+    const End& end = ends.at(ref);
+    return end.stuck ? end.sent.size() : 0;
+  }
+  void grant(transport::SlotRef ref, std::size_t bytes) override { ends.at(ref).granted = bytes; }
+  void bulk(transport::SlotRef, bool) override {}
   void finish(transport::SlotRef ref) override { ends.at(ref).finished = true; }
   void close(transport::SlotRef ref) override {
     ends.at(ref).closed = true;
     if (spare >= 0 && !ends.at(ref).address.empty()) ++spare;
   }
   bool unread(transport::SlotRef ref) override { return ends.at(ref).unread; }
-  void hold(transport::SlotRef ref, bool held) override { ends.at(ref).held = held; }
+  void hold(transport::SlotRef ref, bool held) override { grant(ref, held ? 0 : SIZE_MAX); }
 
  private:
   std::uint32_t next_ = 0;
@@ -99,6 +107,7 @@
     if (!rest.empty()) rest.erase(0, 1);
     if (first == "play") play(second);
     else if (first == "set") set(second, rest);
+    else if (first == "features") features_ = features::read_features(line.substr(9), "features");
     else if (first == "environment") environment_[second] = rest;
     else if (first == "start") start();
     else if (first == "wait") wait(std::stod(second));
@@ -127,7 +136,7 @@
   }
 
   void start() {
-    app_.emplace(read(program::Occasion::Start), network_, deadlines_, clock_, log_);
+    app_.emplace(read(program::Occasion::Start), features_, network_, deadlines_, clock_, log_);
     app_->start();
   }
 
@@ -181,13 +190,29 @@
         end.closed = true;
         end.handler->on_closed(ref, verb == "breaks");
       } else if (verb == "held") {
-        need(end.held, "the program still takes input from it");
+        need(end.granted == 0, "the program still takes input from it");
       } else if (verb == "taking") {
-        need(!end.held, "the program takes no input from it");
+        need(end.granted > 0, "the program takes no input from it");
       } else if (verb == "floods") {  // as often as the number says, in one piece
         std::string much, request = text.substr(text.find(' ') + 1) + "\r\n\r\n";
         for (int i = std::stoi(text); i > 0; --i) much += request;
         end.handler->on_bytes(ref, much);
+      } else if (verb == "pours") {  // as much as it may, up to so many bytes
+        need(!end.closed, "the program has closed it");
+        for (std::size_t left = std::stoul(text); left > 0 && end.granted > 0;) {
+          std::size_t n = std::min({left, end.granted, std::size_t{16384}});
+          if (end.granted != SIZE_MAX) end.granted -= n;
+          left -= n;
+          end.handler->on_bytes(ref, std::string(n, 'x'));
+        }
+      } else if (verb == "gets") {
+        need(end.sent == std::string(std::stoul(text), 'x'), "it got " + std::to_string(end.sent.size()));
+        end.sent.clear();
+      } else if (verb == "stuck") {
+        end.stuck = true;
+      } else if (verb == "drains") {
+        end.stuck = false;
+        end.handler->on_written(ref);
       } else if (verb == "unread") {
         end.unread = true;
       } else if (verb == "closed") {
@@ -214,6 +239,7 @@
   std::string log_text_;
   program::Log log_{clock_, [this](const std::string& line) { log_text_ += line + '\n'; }};
   std::map<std::string, std::string> environment_;
+  features::Features features_;
   std::optional<program::App> app_;
 };
 
