--- a/examples/toy_fleet.py
+++ b/examples/toy_fleet.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """A discovery and two order workers on the loopback, to try the dispatcher with. Not a load rig: it keeps no queue."""
 
+import hashlib
 import http.client
 import json
 import threading
@@ -45,15 +46,23 @@
         self.answer(204)
 
     def do_POST(self):
-        body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        left, seen, sha = int(self.headers.get("Content-Length", 0)), b"", hashlib.sha256()
+        while left > 0:  # piece by piece: it may be long
+            piece = self.rfile.read(min(left, 1 << 16))
+            if not piece:
+                return
+            left -= len(piece)
+            sha.update(piece)
+            seen = (seen + piece)[:100]
+        what = seen.decode(errors="replace") if len(seen) < 100 else "a body with SHA-256 " + sha.hexdigest()
         self.answer(202)
-        threading.Thread(target=self.work, args=(self.headers["X-Correlation-Id"], body), daemon=True).start()
+        threading.Thread(target=self.work, args=(self.headers["X-Correlation-Id"], what), daemon=True).start()
 
-    def work(self, job, body):
+    def work(self, job, what):
         print(f"{self.server.uid}: {job} started", flush=True)
         self.tell(job, {"state": "started"})
         time.sleep(0.3)
-        self.tell(job, {"state": "done", "result": f"{self.server.uid} cooked: {body.decode(errors='replace')}",
+        self.tell(job, {"state": "done", "result": f"{self.server.uid} cooked: {what}",
                         "load": {"fail_rate": 0, "q": 0, "x0": 2}})
 
     def tell(self, job, news):
--- a/lab/standins.cpp
+++ b/lab/standins.cpp
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <openssl/evp.h>
 #include <poll.h>
+#include <sched.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sys/socket.h>
@@ -257,6 +258,14 @@
   return sha.hex();
 }
 
+void run_on(int first, int last) {
+  if (last >= static_cast<int>(std::thread::hardware_concurrency())) return;
+  cpu_set_t cores;
+  CPU_ZERO(&cores);
+  for (int i = first; i <= last; ++i) CPU_SET(i, &cores);
+  sched_setaffinity(0, sizeof cores, &cores);
+}
+
 std::string own_host() {
   return "127." + std::to_string(1 + getpid() % 250) + "." + std::to_string(getpid() / 250 % 250) + ".8";
 }
@@ -363,6 +372,7 @@
       std::uint64_t tries = static_cast<std::uint64_t>(++tries_[seen.id]);
       if (q.contains("only") && tries > q["only"]) q.clear();
     }
+    if (q["core"]) run_on(static_cast<int>(q["core"]), static_cast<int>(q["core"]));
     if (q["in"] || q.contains("hang_in")) setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
     if (q["out"]) setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &small, sizeof small);
     auto limit = [&](const char* name) { return q.contains(name) ? q[name] : UINT64_MAX; };
--- a/lab/standins.h
+++ b/lab/standins.h
@@ -39,6 +39,7 @@
 //   die_in=AFTER die_out=AFTER   closes the connection after so many bytes of the upload, of its reply
 //   hang_in=AFTER hang_out=AFTER  moves nothing more after so many
 //   work=MS          between the last byte and the answer
+//   core=N           serves it on that core, so that other stand-ins' work does not delay it
 //   news=1           answers 202 and calls back with the result
 //   only=N           does all this in its first N attempts at the order, any later one goes well
 using Query = std::map<std::string, std::uint64_t>;
@@ -123,6 +124,7 @@
   int pid_ = -1;
 };
 
-std::string own_host();  // of the loopback, which other processes of this kind do not share
+void run_on(int first, int last);  // this thread, on these cores, where there are so many
+std::string own_host();            // of the loopback, which other processes of this kind do not share
 
 }  // namespace oatledge::lab
--- a/src/program/front_streams.cpp
+++ b/src/program/front_streams.cpp
@@ -37,7 +37,6 @@
   t.upload = std::move(upload);
   t.upload->append(first);
   t.upload->on_room = [this, at] { upload_room(at); };
-  on_.network.bulk(at, true);
   watch_stall(at, t);
   if (t.reader.done()) t.upload->finish();
   else upload_room(at);
@@ -66,6 +65,7 @@
   t.uploads.moved(on_.clock.now());
   try {
     used = t.reader.read(bytes, [&](std::string_view body) { upload->append(body); });
+    if (upload->appended() > kLong) on_.network.bulk(at, true);
   } catch (const protocol::HttpError& e) {
     return abort_upload(at, e.status, e.what());
   }
@@ -119,7 +119,6 @@
   s.keep_alive = s.keep_alive && !closing_;
   t.reply.emplace(std::move(reply.rest), framing);
   t.reply->pipe()->on_data = [this, at] { pump_reply(at); };
-  on_.network.bulk(at, true);
   if (fresh) watch_stall(at, t);
   on_.network.send(at, protocol::write_response_head(200, headers, s.keep_alive));
   pump_reply(at);
--- a/src/program/instance_streams.cpp
+++ b/src/program/instance_streams.cpp
@@ -26,7 +26,6 @@
   Stream& s = *it->second.stream;
   s.up = true;
   s.upload->pipe()->on_data = [this, at] { pump_upload(at); };
-  on_.network.bulk(at, true);
   watch_stall(at, s);
   pump_upload(at);
 }
@@ -87,7 +86,6 @@
   on_.deadlines.drop(c.answer);
   s.reply = pipe;
   s.reader = c.parser.pass();
-  on_.network.bulk(at, true);
   if (s.stall.order == 0) watch_stall(at, s);
   pipe->append(m.body);
   routing::Reply reply;
@@ -124,6 +122,7 @@
   std::size_t used = 0;
   try {
     used = s.reader.read(bytes, [&](std::string_view body) { pipe->append(body); });
+    if (pipe->appended() > kLong) on_.network.bulk(at, true);
   } catch (const protocol::HttpError& e) {
     on_.log.line("instance", c.instance + ": malformed reply: " + e.what());
     return break_reply(at);
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -61,7 +61,7 @@
   program::Shares shares = program::share_descriptors(config);
   transport::GioNetwork network(loop.context(), deadlines, clock, {shares.accepted, shares.connected},
                                 [&log](const std::string& text) { log.line("sockets", text); });
-  loop.after_sockets([&network] { network.serve_bulk(); });
+  loop.after_sockets([&network] { return network.serve_bulk(); });
   program::App app(config, features, network, deadlines, clock, log);
   std::function<void()> terminate = [&app] { app.terminate(); };
   // Guards a serving program against a file that is half written or wrong: it goes on as it was.
--- a/src/program/streams.h
+++ b/src/program/streams.h
@@ -19,6 +19,10 @@
   std::shared_ptr<streaming::Budget> budget;
 };
 
+// A body is long from here on, in bytes: its connections then stand in the queue of the long ones. A small
+// order whose body did not come with its head must not wait behind those.
+constexpr std::uint64_t kLong = 64 << 10;
+
 // A pipe's way out: puts a framing on and gives the connection what there is.
 class Outflow {
  public:
@@ -29,14 +33,20 @@
   void keep_last(std::uint64_t length, bool keep) {
     kept_from_ = keep && length > 0 ? length - 1 : UINT64_MAX;
   }
+  // Guards the others against a long window that goes out at once: a share of it, the rest in its next turn.
   void pump(transport::Network& network, transport::SlotRef at) {
-    while (true) {
+    for (std::size_t moved = 0;;) {
       transport::Slice slice = pipe_->next(static_cast<std::size_t>(
           std::min<std::uint64_t>(SIZE_MAX, kept_from_ - std::min(kept_from_, pipe_->taken()))));
       if (slice.bytes.empty()) break;
+      moved += slice.bytes.size();
       writer_.piece(std::move(slice), [&](auto bytes) { network.send(at, std::move(bytes)); });
       if (network.unsent(at) > kAhead) break;  // the rest waits in the pipe, where the source sees it
+      if (moved < kShare) continue;
+      network.again(at);
+      break;
     }
+    if (pipe_->taken() > kLong) network.bulk(at, true);
     note_written(network, at);
   }
   bool taken_all() const { return pipe_->taken_all(); }
@@ -44,7 +54,7 @@
   const std::shared_ptr<streaming::Pipe>& pipe() const { return pipe_; }
 
  private:
-  static constexpr std::size_t kAhead = 64 << 10;
+  static constexpr std::size_t kAhead = 64 << 10, kShare = 64 << 10;
   // Framing counts as body here, so that never more is told as written than is.
   void note_written(transport::Network& network, transport::SlotRef at) {
     std::uint64_t unsent = network.unsent(at), taken = pipe_->taken();
--- a/src/transport/gio_network.cpp
+++ b/src/transport/gio_network.cpp
@@ -193,24 +193,32 @@
 
 // Guards ordinary messages against long bodies: fairness is in bytes. Whoever is ready is served in the order
 // of waiting until the turn's bytes are spent; the others are the first of the next turn.
-void GioNetwork::serve_bulk() {
-  std::size_t left = kBulkATurn;
-  for (std::size_t n = bulk_.size(); n > 0 && left > 0; --n) {
+bool GioNetwork::serve_bulk() {
+  std::size_t spent = 0;
+  for (std::size_t n = bulk_.size(); n > 0 && spent < kBulkATurn; --n) {
     SlotRef ref = bulk_.front();
     bulk_.pop_front();
     Connection* c = table_.find(ref);
     if (!c) continue;
     c->queued = false;
     bool read = std::exchange(c->may_read, false);
-    std::size_t before = c->unsent.size(), done = 0;
-    if (std::exchange(c->may_write, false)) {
-      on_writable(ref);
-      if ((c = table_.find(ref))) done = before - std::min(before, c->unsent.size());
-    }
+    std::size_t before = written_;
+    if (std::exchange(c->may_write, false)) on_writable(ref);
+    c = table_.find(ref);
+    if (c && std::exchange(c->more, false) && c->state == State::Open) c->handler->on_written(ref);
+    c = table_.find(ref);
     if (c && read && c->held) broken(ref);
-    else if (c && read) done += on_readable(ref, std::min(kReadATurn, left));
-    left -= std::min(left, std::max<std::size_t>(done, 1));
+    else if (c && read) spent += on_readable(ref, kReadATurn);
+    spent += written_ - before;
   }
+  return !bulk_.empty();
+}
+
+void GioNetwork::again(SlotRef ref) {
+  Connection* c = table_.find(ref);
+  if (!c) return;
+  c->more = true;
+  if (!std::exchange(c->queued, true)) bulk_.push_back(ref);
 }
 
 std::size_t GioNetwork::on_readable(SlotRef ref, std::size_t most) {
@@ -252,7 +260,7 @@
   }
   std::size_t before = c->unsent.size();
   flush(ref, *c);
-  if (c->bulk && c->state == State::Open && c->unsent.size() < before) c->handler->on_written(ref);
+  if (c->state == State::Open && c->unsent.size() < before) c->handler->on_written(ref);
 }
 
 void GioNetwork::send(SlotRef ref, std::string bytes) {
@@ -264,6 +272,7 @@
     gssize n = g_socket_send(c->socket.get(), bytes.data(), bytes.size(), nullptr, error.out());
     bool failed = n < 0 && !error.is(G_IO_ERROR_WOULD_BLOCK);
     done = n < 0 ? 0 : static_cast<std::size_t>(n);
+    written_ += done;
     if (done == bytes.size()) return;
     if (failed) {  // kept all the same: that it was not written is a proof
       c->unsent.push(std::move(bytes));
@@ -311,6 +320,7 @@
     if (n < 0 && !error.is(G_IO_ERROR_WOULD_BLOCK)) return break_later(ref, c);
     if (n < 0) break;
     c.unsent.drop(static_cast<std::size_t>(n));
+    written_ += static_cast<std::size_t>(n);
     if (static_cast<std::size_t>(n) < offered) break;  // the network is full; the next call would say so
   }
   if (!c.bulk && c.unsent.size() > kMostUnsent) return break_later(ref, c);
--- a/src/transport/gio_network.h
+++ b/src/transport/gio_network.h
@@ -38,7 +38,9 @@
   void hold(SlotRef connection, bool held) override;
   void grant(SlotRef connection, std::size_t bytes) override;
   void bulk(SlotRef connection, bool on) override;
-  void serve_bulk();  // once a turn, after the sockets: bulk connections that are ready, in turn
+  void again(SlotRef connection) override;
+  bool
+  serve_bulk();  // once a turn, after the sockets: bulk connections that are ready, in turn; true: some wait
 
  private:
   enum class State { Connecting, Open, Flushing, Lingering };
@@ -47,7 +49,7 @@
     ConnectionHandler* handler = nullptr;
     bool accepted = false, held = false;
     bool bulk = false, may_read = false, may_write = false;  // the latter two: of a bulk one, seen by poll
-    bool queued = false;                                     // in bulk_
+    bool queued = false, more = false;                       // in bulk_
     std::size_t granted = SIZE_MAX;                          // bytes that on_bytes() may still bring
     State state = State::Open;
     int priority = G_PRIORITY_DEFAULT;
@@ -83,6 +85,7 @@
   SlotTable<Connection> table_;
   std::size_t accepted_ = 0, connected_ = 0;
   std::vector<char> scratch_;      // what is read lies here while a handler looks at it
+  std::size_t written_ = 0;        // bytes, ever; what they grow by is what a turn has cost
   std::deque<SlotRef> bulk_;       // those that are ready, the longest waiting first
   std::deque<SlotRef> finishing_;  // accepted connections on their way out, the longest first
   ObjectPtr<GSocket> listener_;
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -34,8 +34,8 @@
     ready = g_get_monotonic_time() + static_cast<gint64>(wait * 1000);
   }
   g_source_set_ready_time(wake_.get(), ready);
-  g_main_context_iteration(context_.get(), TRUE);
-  if (after_sockets_) after_sockets_();
+  g_main_context_iteration(context_.get(), !more_);
+  more_ = after_sockets_ && after_sockets_();
   deadlines_.sweep(clock_.now());
 }
 
--- a/src/transport/network.h
+++ b/src/transport/network.h
@@ -19,7 +19,7 @@
   virtual void on_bytes(SlotRef connection, std::string_view bytes) = 0;
   // The peer or the network ended it. `all_written`: it had come up and every byte given to send() went out.
   virtual void on_closed(SlotRef connection, bool all_written) = 0;
-  // A bulk connection has written more of what waited. Told from the loop, never from inside send().
+  // More of what waited has been written. Told from the loop, never from inside send().
   virtual void on_written(SlotRef) {}
 };
 
@@ -51,8 +51,11 @@
   // The same by the byte: on_bytes() brings at most so many from now on, then the connection is held.
   virtual void grant(SlotRef connection, std::size_t bytes) = 0;
   // A bulk connection carries a long body: its sender watches unsent() itself, so there is no limit to what
-  // waits, and it is served after the others, a bounded number of bytes a turn.
+  // waits, and it is served after the others, all of them together a bounded number of bytes a turn.
   virtual void bulk(SlotRef connection, bool on) = 0;
+  // on_written() comes in the turn of this bulk connection: its sender has more, but has had its share for
+  // now.
+  virtual void again(SlotRef connection) = 0;
 };
 
 }  // namespace oatledge::transport
--- a/tests/net/player.h
+++ b/tests/net/player.h
@@ -56,6 +56,11 @@
   }
   void grant(transport::SlotRef ref, std::size_t bytes) override { ends.at(ref).granted = bytes; }
   void bulk(transport::SlotRef, bool) override {}
+  void again(transport::SlotRef ref) override { again_.push_back(ref); }
+  void serve_bulk() {
+    for (transport::SlotRef ref : std::exchange(again_, {}))
+      if (!ends.at(ref).closed) ends.at(ref).handler->on_written(ref);
+  }
   void finish(transport::SlotRef ref) override { ends.at(ref).finished = true; }
   void close(transport::SlotRef ref) override {
     ends.at(ref).closed = true;
@@ -66,6 +71,7 @@
   void hold(transport::SlotRef ref, bool held) override { grant(ref, held ? 0 : SIZE_MAX); }
 
  private:
+  std::vector<transport::SlotRef> again_;
   std::uint32_t next_ = 0;
 };
 
@@ -82,6 +88,7 @@
       if (line.empty() || line[0] == '#') continue;
       try {
         step(line);
+        network_.serve_bulk();
       } catch (const std::exception& e) {
         throw Mismatch(file + ":" + std::to_string(number) + ": " + line + "\n  " + e.what());
       }
