Test that long bodies move a bounded number of bytes a turn

Change: twelve bulk connections with 150 KB each waiting; each turn may move 256 KiB and one connection's share more, and all of them come to their end.

Measured: passes; fails with the bound of a turn raised tenfold. The whole change was read again; nothing in src moved.

--- a/tests/net/sockets_test.cpp
+++ b/tests/net/sockets_test.cpp
@@ -153,3 +153,18 @@
   s.server.can_shed = true;
   s.until([&] { return s.server.bytes == "late"; });
 }
+
+// Guards ordinary messages: however much waits on long transfers, a turn moves a bounded number of its bytes.
+TEST_CASE("bulk connections share a turn's bytes, and each has its turn") {
+  Scene s({16, 16});
+  std::vector<SlotRef> clients;
+  for (int i = 0; i < 12; ++i) clients.push_back(*s.network.connect(s.address, s.client, Urgency::Normal));
+  s.until([&] { return s.server.accepted.size() == 12 && s.client.connected == 12; });
+  for (SlotRef ref : s.server.accepted) s.network.bulk(ref, true);
+  for (SlotRef ref : clients) s.network.bulk(ref, true), s.network.send(ref, std::string(150'000, 'x'));
+  for (std::size_t before = 0; before < 12 * 150'000; before = s.server.bytes.size()) {
+    s.loop.turn();
+    s.network.serve_bulk();
+    CHECK(s.server.bytes.size() - before <= (256 << 10) + (64 << 10));
+  }
+}
