Keep the watch's revision over failures; pause between calls by the number of dispatchers

Seen, counted over the fleet: each failed call came back within 250 to 500 ms, later 1.2 to 2.5 s, and each asked for the whole list. A call waits 2.0 s before its 503, so the callers that come back fill the queue that they failed in. To blame: HttpNames::watch() dropped the revision at each failure, and Logic::list_answered() knew two pauses, neither of which knew how many others ask. Change: the watch goes on from the revision held, at a start that of `known`; a revision that runs backwards or a malformed list means the whole list. The pause after a failure is 20 ms for each dispatcher at least (500 ms as before for few), doubles to eight times that, and many dispatchers spread their first call where they hold a list.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -21,6 +21,7 @@
 using std::chrono::seconds;
 
 constexpr Duration kCutoffEvery = seconds(2);
+constexpr Duration kAskTurn{20};     // of discovery's time, that calls for the list leave to each dispatcher
 constexpr double kFewSamples = 30;   // under this many the search would follow single jobs
 constexpr double kSaneWorkMs = 1e7;  // hints outside (0, this] are as good as missing
 
@@ -82,7 +83,6 @@
       : set_(settings), now_(now), out_(&out), random_(settings.seed) {
     validate(set_);
     for (double quota : set_.tenant_quotas) tenants_.push_back({quota}), all_quotas_ += quota;
-    if (set_.must_subscribe) subscribe();
   }
 
   Logic& at(Time now, Actions& out) { return now_ = now, out_ = &out, *this; }
@@ -90,7 +90,7 @@
   // ---- The list and the pools ----
 
   void list(ListKind kind, const std::vector<WorkerEntry>& entries) {
-    if (kind != ListKind::Persisted) list_answered(kind);
+    list_answered(kind, entries.empty());
     if (kind == ListKind::Error) return;
     if (kind != ListKind::Partial)
       for (auto& [id, w] : workers_) w.listed = false;
@@ -178,20 +178,27 @@
     }
   }
 
-  // Subscribe at launch and again after each error, with jittered backoff well inside must_ask_in.
+  // Subscribe at launch and again after each error, inside must_ask_in or what a failed call leaves of four
+  // times that. Discovery serves all dispatchers one by one, and those whose calls fail together would come
+  // again together and keep it overbooked: pauses grow with their number, and where they are many and a list is
+  // held from before, there is one before the first call too.
   void subscribe() {
     out_->push_back({.kind = ActionKind::Subscribe});
     subscribed_ = false;
     arm(now_ + std::max(set_.must_ask_in / 2, Duration(seconds(2))), DueKind::Subscribe, ++ask_);
   }
 
-  void list_answered(ListKind kind) {
+  void list_answered(ListKind kind, bool none) {
     if (!set_.must_subscribe) return;
-    subscribed_ = kind != ListKind::Error;
-    Duration longest = std::max(Duration(500), set_.must_ask_in / 4);
+    Duration turn = kAskTurn * set_.balancers, least = std::max(Duration(500), turn);
+    Duration longest = std::max({least, set_.must_ask_in / 4, std::min(8 * turn, 2 * set_.must_ask_in)});
     std::uniform_real_distribution<double> jitter(0.5, 1.0);
-    if (!subscribed_) arm(now_ + ask_backoff_ * jitter(random_), DueKind::Subscribe, ++ask_);
-    ask_backoff_ = subscribed_ ? Duration(500) : std::min(2 * ask_backoff_, longest);
+    bool starts = kind == ListKind::Persisted;
+    subscribed_ = !starts && kind != ListKind::Error;
+    if (starts && (none || turn < least)) subscribe();
+    else if (starts) arm(now_ + turn * 2 * (jitter(random_) - 0.5), DueKind::Subscribe, ++ask_);
+    else if (!subscribed_) arm(now_ + ask_backoff_ * jitter(random_), DueKind::Subscribe, ++ask_);
+    ask_backoff_ = subscribed_ || starts ? least : std::min(2 * ask_backoff_, longest);
   }
 
   // ---- The cutoff ----
@@ -993,7 +1000,7 @@
   Time cutoff_due_{};
   bool subscribed_ = false, sweeping_ = false;
   std::uint64_t ask_ = 0;  // the latest call or wait for the list; its timer alone counts
-  Duration ask_backoff_{500};
+  Duration ask_backoff_{0};
   int logged_ = 0;
 };
 
--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -92,6 +92,7 @@
 void App::start() {
   protocol::NameList known = config_.known.value_or(protocol::NameList{0, true, {}});
   instances_.update(known);
+  if (!known.entries.empty()) names_.hold(known.revision);
   router_.start(entries_of(known));
   if (!known.entries.empty()) front_.set_ready();
   if (!config_.settings.must_subscribe) names_.watch();
--- a/src/program/http_names.cpp
+++ b/src/program/http_names.cpp
@@ -10,12 +10,12 @@
 
 }  // namespace
 
-// The first call asks for the whole list: its answer comes at once and tells that the watch stands. The next
-// calls wait for changes after it.
+// From the revision that is held, after a start that of the `known` list: what has changed since comes first, and
+// where nothing has, the watch just stands. Guards a discovery that many dispatchers ask at once, after a release or
+// a break: whole lists are what it works on longest, and asking for them again and again keeps it overbooked. Only
+// who holds no list, or one that discovery cannot go on from, asks for all of it.
 void HttpNames::watch() {
-  if (asking_) return;
-  revision_.reset();
-  ask();
+  if (!asking_) ask();
 }
 
 // At once, and whether or not a call is out or a pause after a failed one runs: what the new address has to
@@ -25,6 +25,7 @@
   options_.address = address;
   hang_up();
   asking_ = false;
+  revision_.reset();
   watch();
 }
 
@@ -62,11 +63,18 @@
   try {
     list = protocol::read_names(protocol::parse_json(m.body), on_.words);
   } catch (const protocol::Refused& e) {
+    revision_.reset();  // whoever writes that may have lost more: begin anew
     return fail(std::string("malformed list: ") + e.what());
   }
   if (!revision_ && !list.whole) return fail("changes came where the whole list was asked for");
+  if (revision_ && !list.whole && list.revision < *revision_) {  // discovery counts anew: ours means nothing there
+    revision_.reset();
+    return fail("its revision " + std::to_string(list.revision) + " is older than the one held");
+  }
   on_.deadlines.drop(late_);
   asking_ = false;
+  if (failed_ > 0) on_.log.line("names", "heard after " + std::to_string(failed_) + " failed calls");
+  failed_ = 0;
   revision_ = list.revision;
   if (!m.keep_alive || !parser_.idle()) hang_up();
   ask();  // first: a watch ends when its next call is late
@@ -82,6 +90,7 @@
 
 void HttpNames::fail(const std::string& why) {
   on_.log.line("names", "a call to discovery failed: " + why);
+  ++failed_;
   hang_up();
   asking_ = false;
   if (options_.retries) late_ = on_.deadlines.add(on_.clock.now() + kAgain, [this] { watch(); });
--- a/src/program/http_names.h
+++ b/src/program/http_names.h
@@ -18,6 +18,7 @@
   using Changed = std::function<void(stagehinge::ListKind, const protocol::NameList&)>;
   void attach(Changed changed) { changed_ = std::move(changed); }
 
+  void hold(std::int64_t revision) { revision_ = revision; }  // of a list held from before the first watch
   void watch() override;
   void move(const std::string& address);  // from now on the watch is kept there
 
@@ -37,6 +38,7 @@
   protocol::Parser parser_{protocol::Parser::Kind::Response};
   std::optional<std::int64_t> revision_;  // nothing: the next call is for the whole list
   bool asking_ = false;
+  int failed_ = 0;  // calls in a row
   transport::Deadlines::Handle late_;
 };
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1,4 +1,6 @@
 // The four rules at their boundaries, each at one dispatcher alone.
+#include <numeric>
+
 #include "support.h"
 
 namespace stagehinge::testing {
@@ -160,8 +162,8 @@
   set.must_subscribe = true;
   set.must_ask_in = Duration(8000);
   Scene s(set);
-  EXPECT_EQ(s.of(ActionKind::Subscribe).size(), 1U);
   s.list({s.worker("a")}, ListKind::Persisted);
+  EXPECT_EQ(s.of(ActionKind::Subscribe).size(), 1U);
   for (int i = 0; i < 8; ++i) {
     s.list({}, ListKind::Error);
     EXPECT_TRUE(s.of(ActionKind::Subscribe).empty()) << "must back off first";
@@ -173,6 +175,36 @@
   EXPECT_TRUE(s.of(ActionKind::Subscribe).empty());
 }
 
+// A hundred dispatchers start together, and discovery fails every call. How many ask in each 100 ms of 20 s?
+std::vector<int> asking_together(bool list_held) {
+  std::vector<int> calls(200);
+  for (int index = 0; index < 100; ++index) {
+    Settings set = settings();
+    set.must_subscribe = true, set.must_ask_in = Duration(10000);
+    set.balancers = 100, set.index = index, set.seed = 1000 + index;
+    Scene s(set);
+    std::vector<WorkerEntry> held;
+    if (list_held) held.push_back(s.worker("a"));
+    s.list(held, ListKind::Persisted);
+    bool asked = !s.of(ActionKind::Subscribe).empty();
+    for (int& now : calls) {
+      if (asked) ++now, s.list({}, ListKind::Error);
+      s.pass(100);
+      asked = !s.of(ActionKind::Subscribe).empty();
+    }
+  }
+  return calls;
+}
+
+TEST(Drain, AHundredDispatchersDoNotKeepDiscoveryOverbooked) {
+  std::vector<int> calls = asking_together(true);
+  EXPECT_LE(*std::ranges::max_element(calls), 15);
+  EXPECT_LE(std::accumulate(calls.begin() + 100, calls.end(), 0), 150) << "in the last ten seconds";
+  EXPECT_GE(std::accumulate(calls.begin() + 100, calls.end(), 0), 50) << "they must go on asking";
+}
+
+TEST(Drain, WhoHoldsNoListAsksAtOnce) { EXPECT_EQ(asking_together(false).front(), 100); }
+
 // What each of `balancers` dispatchers sends to one cold worker, all with more work at hand than they may
 // send.
 double most_in_a_span(int balancers, double hint) {
