--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -180,8 +180,8 @@
 
   // Subscribe at launch and again after each error, inside must_ask_in or what a failed call leaves of four
   // times that. Discovery serves all dispatchers one by one, and those whose calls fail together would come
-  // again together and keep it overbooked: pauses grow with their number, and where they are many and a list is
-  // held from before, there is one before the first call too.
+  // again together and keep it overbooked: pauses grow with their number, and where they are many and a list
+  // is held from before, there is one before the first call too.
   void subscribe() {
     out_->push_back({.kind = ActionKind::Subscribe});
     subscribed_ = false;
--- a/src/program/http_names.cpp
+++ b/src/program/http_names.cpp
@@ -10,10 +10,10 @@
 
 }  // namespace
 
-// From the revision that is held, after a start that of the `known` list: what has changed since comes first, and
-// where nothing has, the watch just stands. Guards a discovery that many dispatchers ask at once, after a release or
-// a break: whole lists are what it works on longest, and asking for them again and again keeps it overbooked. Only
-// who holds no list, or one that discovery cannot go on from, asks for all of it.
+// From the revision that is held, after a start that of the `known` list: what has changed since comes first,
+// and where nothing has, the watch just stands. Guards a discovery that many dispatchers ask at once, after a
+// release or a break: whole lists are what it works on longest, and asking for them again and again keeps it
+// overbooked. Only who holds no list, or one that discovery cannot go on from, asks for all of it.
 void HttpNames::watch() {
   if (!asking_) ask();
 }
@@ -67,7 +67,8 @@
     return fail(std::string("malformed list: ") + e.what());
   }
   if (!revision_ && !list.whole) return fail("changes came where the whole list was asked for");
-  if (revision_ && !list.whole && list.revision < *revision_) {  // discovery counts anew: ours means nothing there
+  if (revision_ && !list.whole &&
+      list.revision < *revision_) {  // discovery counts anew: ours means nothing there
     revision_.reset();
     return fail("its revision " + std::to_string(list.revision) + " is older than the one held");
   }
