Leave workers alone whose reports tell of many errors

LoadReport had no field for it: read_report() dropped the column. Change: fail_rate is read; a worker whose errors are more than 15% of the jobs it could serve, beyond twice what is usual among all reports, is left alone for 2 s, so that it is probed, not tried, next. Where all fail alike nobody is.

--- a/include/stagehinge/dispatcher.h
+++ b/include/stagehinge/dispatcher.h
@@ -91,7 +91,7 @@
 };
 
 struct LoadReport {
-  std::optional<double> inflight, queue, busy, free_slots, free_memory;
+  std::optional<double> inflight, queue, busy, free_slots, free_memory, fail_rate;  // the last: errors a second
 };
 
 struct Request {
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -58,7 +58,9 @@
 constexpr double kDown = 1.0;      // only trials go there
 constexpr Duration kDoubtHalfLife = seconds(5);
 constexpr Duration kDownAgain = seconds(2);  // taken as down again within this, a worker waits for its trial
-constexpr int kTrusted = 3;         // jobs of a class served in a row, after which one that fails is chance
+constexpr int kTrusted = 3;           // jobs of a class served in a row, after which one that fails is chance
+constexpr double kErrorShare = 0.15;  // of the jobs that a worker could serve: more failed are no chance
+constexpr Duration kErrorGap = seconds(2);
 constexpr double kOverdue = 2.0;    // times the expected run before a job counts as overdue
 constexpr double kColdDoubt = 1.5;  // at least this much more than its hint a job counts for there
 constexpr double kColdPart = 0.5;   // of a cold worker's budget that is given out
@@ -805,6 +807,12 @@
   }
 
   void report(Worker& w, const LoadReport& r, bool with_end) {
+    // EXCEPTION failing: who fails fast looks free, and each dispatcher would find it out with jobs of its
+    // own. Its reports tell: one that fails far more of what it could serve than others do is left alone a
+    // while.
+    double errors = r.fail_rate.value_or(NAN) * (mean_slot_time(w) / Duration(seconds(1)));
+    if (errors > kErrorShare + 2 * usual_errors_) w.full_until = std::max(w.full_until, now_ + kErrorGap);
+    if (errors >= 0) usual_errors_ += 0.02 * (std::min(1.0, errors) - usual_errors_);
     if (!r.free_slots || !std::isfinite(*r.free_slots)) return;
     double free = std::max(0.0, *r.free_slots);
     w.slots = std::max({w.slots, w.started_slots, free < 1e4 ? std::round(free) : 0});
@@ -996,7 +1004,7 @@
   Recent recent_;
   HintHistogram hints_;
   double cutoff_ = 0, short_share_ = 0.5, mean_work_ = 100, mean_worth_ = 0, usual_others_ = 0,
-         mean_speed_ = 1, most_slots_ = kGuessedSlots;
+         usual_errors_ = 0, mean_speed_ = 1, most_slots_ = kGuessedSlots;
   Time cutoff_due_{};
   bool subscribed_ = false, sweeping_ = false;
   std::uint64_t ask_ = 0;  // the latest call or wait for the list; its timer alone counts
--- a/src/settings/reader.h
+++ b/src/settings/reader.h
@@ -44,6 +44,7 @@
     std::optional<double>* field = name == "rif"                               ? &report.inflight
                                    : name == "q"                               ? &report.queue
                                    : name == "busy"                            ? &report.busy
+                                   : name == "fail_rate"                       ? &report.fail_rate
                                    : name == "x0" && columns.x0_is_free_slots  ? &report.free_slots
                                    : name == "x1" && columns.x1_is_free_memory ? &report.free_memory
                                                                                : nullptr;
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -398,6 +398,45 @@
   EXPECT_EQ(s.dispatcher_.open_requests(), 0U);
 }
 
+// What a worker's report says of errors, after two jobs that it served at once.
+LoadReport errors(double a_second) {
+  LoadReport r;
+  r.free_slots = 2, r.fail_rate = a_second;
+  return r;
+}
+
+TEST(Failing, AWorkerWhoseReportsTellOfManyErrorsIsLeftAloneForAWhile) {
+  Scene s(settings(Effect::Unsafe));
+  s.list(entries(s, {"a", "b"}));
+  s.request(1, 100);
+  std::string bad = s.sent_to(1), good = bad == "a" ? "b" : "a";
+  s.end(1, 0, Outcome::Success, true, errors(4));  // of some twenty that it could serve in a second
+  for (RequestId id = 2; id < 4; ++id) {
+    s.request(id, 100);
+    ASSERT_EQ(s.sent_to(id), good);
+    s.started(id);
+  }
+  s.request(4, 100);
+  EXPECT_NE(s.sent_to(4), bad) << "better queued than failed";
+  s.pass(2100);
+  s.request(5, 100);
+  EXPECT_EQ(s.sent_to(5), bad) << "and it gets another chance";
+}
+
+TEST(Failing, WhereAllFailAlikeNobodyIsLeftAlone) {
+  Scene s(settings(Effect::Unsafe));
+  s.list(entries(s, {"a", "b"}));
+  int held = 0;
+  for (RequestId id = 1; id <= 60; ++id) {
+    s.request(id, 100);
+    if (s.sent_to(id).empty()) ++held, s.pass(2100);
+    else s.end(id, 0, Outcome::Success, true, errors(10));
+  }
+  EXPECT_LE(held, 15);
+  s.request(100, 100);
+  EXPECT_FALSE(s.sent_to(100).empty());
+}
+
 std::string one_run(std::uint64_t seed) {
   Settings set = settings();
   set.seed = seed;
