--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -64,7 +64,7 @@
 constexpr double kOverdue = 2.0;    // times the expected run before a job counts as overdue
 constexpr double kColdDoubt = 1.5;  // at least this much more than its hint a job counts for there
 constexpr double kColdPart = 0.5;   // of a cold worker's budget that is given out
-constexpr double kColdFewest = 3;   // that share it: one job longer than its hint must not spend it all
+constexpr double kColdHolders = 3;  // that share it: one job longer than its hint must not spend it all
 constexpr double kColdTurn = 4;     // fall spans that the same dispatchers hold it
 constexpr int kLogLines = 200;
 
@@ -173,9 +173,8 @@
     for (Worker* w : ready_) {
       Pool& pool = pools_[w->zone != set_.zone][w->short_pool];
       double before = pool.upto.empty() ? 0 : pool.upto.back();
-      // A cold worker is left to the holders of its budget, who make up for all the others.
-      double weight = w->slots * w->speed;
-      if (warmth(*w) < 1) weight = cold_share(*w) * set_.balancers / cold_unit();
+      // A cold worker is left to the holders of its budget, who look at it each time.
+      double weight = warmth(*w) < 1 ? 0 : w->slots * w->speed;
       pool.workers.push_back(w), pool.upto.push_back(before + weight);
     }
   }
@@ -346,16 +345,16 @@
   }
 
   // Rule of cold workers: what may be sent within any fall span is multiple x capacity x span, by all of us.
-  // As many share it as leave each a usual job, picked by the worker's hash and our own index, and changed
-  // every few spans, as an idle holder wastes its part; new holders wait out the old ones' last span.
+  // A few share it, picked by the worker's hash and our own index, and changed every few spans, as an idle
+  // holder wastes its part; new holders wait out the old ones' last span. In a drawn fleet nobody else looks
+  // at it, and its holders do so with each job: left to chance, most of a fleet replaced at once stood idle.
   double cold_unit() const { return kColdPart * set_.tip_multiple * ms(set_.fall_span); }
   double cold_budget(const Worker& w) const {
     return cold_unit() * w.slots * std::min(w.speed, mean_speed_) * warmth(w);
   }
   double cold_share(const Worker& w) const {
     double budget = cold_budget(w);
-    double least = std::min(kColdFewest, 1.0 * set_.balancers);
-    double holders = std::clamp(std::floor(budget / (kColdDoubt * mean_work_)), least, 1.0 * set_.balancers);
+    double holders = std::min(kColdHolders, 1.0 * set_.balancers);
     double since_start = ms(now_ - (w.online_since == w.cold_since ? *w.cold_since : Time{}));
     double span = ms(set_.fall_span), turn = std::floor(since_start / (kColdTurn * span));
     bool waits = turn > 0 && holders < set_.balancers && since_start - turn * kColdTurn * span <= span;
@@ -473,7 +472,9 @@
 
   template <class Visit>
   void draw(const Pool& pool, std::size_t times, Visit visit) {
-    if (pool.workers.empty()) return;
+    for (Worker* w : pool.workers)
+      if (warmth(*w) < 1 && cold_share(*w) > 0) visit(*w);
+    if (pool.workers.empty() || pool.upto.back() <= 0) return;
     std::uniform_real_distribution<double> point(0, pool.upto.back());
     for (std::size_t i = 0; i < times; ++i) {
       auto at = std::upper_bound(pool.upto.begin(), pool.upto.end() - 1, point(random_));
@@ -496,7 +497,7 @@
       });
       for (std::size_t i = before; i < job.asked.size(); ++i) {
         Worker& w = *job.asked[i];
-        if (!w.probe_out && now_ - w.reported_at <= kNewsAge) {
+        if (warmth(w) < 1 || (!w.probe_out && now_ - w.reported_at <= kNewsAge)) {
           if (has_room(w, job)) return send(job, w), true;
           continue;
         }
--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -89,6 +89,12 @@
   names_.attach([this](ListKind kind, const protocol::NameList& list) { names_changed(kind, list); });
 }
 
+void App::trace() {
+  auto line = [this](const std::string& text) { log_.trace(text); };
+  router_.trace(line);
+  names_.trace(line);
+}
+
 void App::start() {
   protocol::NameList known = config_.known.value_or(protocol::NameList{0, true, {}});
   instances_.update(known);
--- a/src/program/app.h
+++ b/src/program/app.h
@@ -20,6 +20,7 @@
       transport::Deadlines& deadlines, const transport::Clock& clock, Log& log);
 
   transport::Acceptor& acceptor() { return front_; }
+  void trace();  // from here on, a line in the log for each thing that happens to a command; before start()
   void start();
   void reload(const Config& next);             // SIGHUP
   void reload_failed(const std::string& why);  // the same, where the file makes no sense
--- a/src/program/http_names.cpp
+++ b/src/program/http_names.cpp
@@ -42,6 +42,7 @@
   asking_ = true;
   transport::Duration longest = revision_ ? options_.wait + kGrace : kWhole;
   late_ = on_.deadlines.add(on_.clock.now() + longest, [this] { fail("no answer in time"); });
+  if (trace_) trace_("call " + (revision_ ? std::to_string(*revision_) : "whole"));
   on_.network.send(*connection_, protocol::write_watch(revision_, options_.wait, options_.address));
 }
 
@@ -77,6 +78,7 @@
   if (failed_ > 0) on_.log.line("names", "heard after " + std::to_string(failed_) + " failed calls");
   failed_ = 0;
   revision_ = list.revision;
+  if (trace_) trace_("list " + std::to_string(list.entries.size()) + " " + std::to_string(list.revision));
   if (!m.keep_alive || !parser_.idle()) hang_up();
   ask();  // first: a watch ends when its next call is late
   changed_(list.whole ? stagehinge::ListKind::Complete : stagehinge::ListKind::Partial, list);
--- a/src/program/http_names.h
+++ b/src/program/http_names.h
@@ -15,6 +15,8 @@
   };
   HttpNames(Platform on, Options options) : on_(on), options_(std::move(options)) {}
 
+  void trace(std::function<void(const std::string&)> trace) { trace_ = std::move(trace); }
+
   using Changed = std::function<void(stagehinge::ListKind, const protocol::NameList&)>;
   void attach(Changed changed) { changed_ = std::move(changed); }
 
@@ -34,6 +36,7 @@
   Platform on_;
   Options options_;
   Changed changed_;
+  std::function<void(const std::string&)> trace_;
   std::optional<transport::SlotRef> connection_;
   protocol::Parser parser_{protocol::Parser::Kind::Response};
   std::optional<std::int64_t> revision_;  // nothing: the next call is for the whole list
--- a/src/program/log.cpp
+++ b/src/program/log.cpp
@@ -29,4 +29,6 @@
   sink_(kind + ": " + clean);
 }
 
+void Log::trace(const std::string& text) { sink_("trace: " + text); }
+
 }  // namespace oatledge::program
--- a/src/program/log.h
+++ b/src/program/log.h
@@ -21,6 +21,7 @@
 
   // `kind` is the first word of the line and what the limit counts by; the on-call page lists them.
   void line(const std::string& kind, const std::string& text);
+  void trace(const std::string& text);  // of the kind "trace", which has no limit
 
  private:
   struct Window {
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -46,7 +46,7 @@
   return source;
 }
 
-void run(const features::Features& features) {
+void run(const features::Features& features, bool trace) {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // one that comes before there is anything to reload must not end the program
   const transport::Duration to_steady = wall_to_steady();
@@ -75,6 +75,7 @@
   auto term = on_signal(SIGTERM, terminate, loop.context());
   auto interrupt = on_signal(SIGINT, terminate, loop.context());
   auto hangup = on_signal(SIGHUP, reload, loop.context());
+  if (trace) app.trace();
   app.start();
   network.listen(config.listen, app.acceptor());
   while (!app.finished()) loop.turn();
@@ -86,8 +87,10 @@
 int main(int argc, char** argv) try {
   CLI::App line{"One order dispatcher; the platform's settings come with ROUTER_CONFIG."};
   std::string path;
+  bool trace = false;
   line.add_option("--features", path, "the project's own settings, in protobuf text format")
       ->type_name("FILE");
+  line.add_flag("--trace", trace, "log each thing that happens to a command (lab/fleet_table.py reads it)");
   line.set_version_flag("--version", "oatledge " OATLEDGE_VERSION);
   CLI::App* check = line.add_subcommand("check", "say what is wrong with a features file, and end");
   check->add_option("--features", path, "the file")->type_name("FILE")->required();
@@ -99,7 +102,7 @@
       std::fprintf(stderr, "%s\n", e.what());
       return 1;
     }
-  if (!check->parsed()) run(features);
+  if (!check->parsed()) run(features, trace);
   return 0;
 } catch (const std::exception& e) {
   std::fprintf(stderr, "oatledge: %s\n", e.what());
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,8 +1,12 @@
 #include "router.h"
 
+#include <cstdio>
+
 namespace oatledge::routing {
 namespace {
 
+constexpr const char* kOutcomes[] = {"success", "failure",   "overloaded", "timed_out", "unreachable",
+                                     "broken",  "withdrawn", "void"};  // in the order of stagehinge::Outcome
 constexpr std::size_t kEndedKept = 4096;  // ids; a quarter of a megabyte, and well over a minute's commands
 
 }  // namespace
@@ -22,6 +26,13 @@
       log_(std::move(log)),
       table_(most_commands) {}
 
+void Router::note(const char* what, stagehinge::RequestId id, int attempt, const std::string& text) const {
+  if (!trace_) return;
+  char head[64];
+  std::snprintf(head, sizeof head, "%s %016llx %d ", what, static_cast<unsigned long long>(id), attempt);
+  trace_(head + text);
+}
+
 // The module is never entered from inside one of its own actions: what a port reports meanwhile waits here.
 void Router::post(std::function<void()> event) {
   events_.push_back(std::move(event));
@@ -61,6 +72,7 @@
   ++open_;
   Command& kept = *table_.find(*ref);
   kept.deadline = deadlines_.add(kept.ends, [this, r = *ref] { time_up(r); });
+  note("taken", n.request.id, -1, std::to_string(n.request.job_class));
   known(*ref);
   post([this, request = n.request] {
     std::vector<Action> actions;
@@ -78,6 +90,7 @@
   Command* c = table_.find(ref);
   if (!c || c->answered) return;
   stagehinge::RequestId id = c->id;
+  note("answered", id, -1, "left");
   c->answered = true;
   --open_;
   std::vector<Action> actions;
@@ -105,6 +118,7 @@
       ports_.instances.settled({ref, attempt});
       return end_attempt({ref, attempt}, news.outcome, news.report, {std::move(news.result), {}, {}, {}});
     }
+    if (news.started) note("started", news.id, attempt, news.instance);
     std::vector<Action> actions;
     auto kind = news.started ? stagehinge::NoteKind::Started : stagehinge::NoteKind::Progress;
     dispatcher_->on_note(clock_.now(), news.id, attempt, news.instance, kind, actions);
@@ -114,6 +128,7 @@
 
 void Router::probe_ended(const std::string& instance, Outcome outcome, const LoadReport& report) {
   post([=, this] {
+    note("probed", 0, -1, instance + " " + kOutcomes[static_cast<int>(outcome)]);
     std::vector<Action> actions;
     dispatcher_->on_probe_result(clock_.now(), instance, outcome, report, actions);
     act(actions);
@@ -179,6 +194,7 @@
   // as the simulator told it.
   bool sent = !c->answered && clock_.now() < c->ends && attempt < settings_.max_attempts && !spent(*c);
   c->attempts.push_back({instance, sent});
+  if (sent) note("sent", a.id, attempt, instance);
   if (sent) return ports_.instances.submit({ref, attempt}, instance, c->cargo, c->ends - clock_.now());
   post([=, this, id = a.id, final = c->answered] {
     tell_end(id, attempt, final, instance, Outcome::Void, {});
@@ -191,6 +207,7 @@
   if (!c || c->answered) return;
   c->answered = true;
   --open_;
+  note("answered", a.id, -1, a.kind == ActionKind::Reject ? "nack" : "failed");
   if (a.kind == ActionKind::Reject) ports_.clients.nack(ref, a.retry_after);
   else ports_.clients.failed(ref);
   // Later, as the module's cancels of this command's attempts follow among the same actions.
@@ -216,7 +233,10 @@
   if (reply.rest && !serves) reply.rest->abandon();  // nobody will take it
   if (!open) return;
   c->attempts[ref.attempt].open = false;
+  note("ended", c->id, ref.attempt,
+       c->attempts[ref.attempt].instance + " " + kOutcomes[static_cast<int>(outcome)]);
   if (serves) {
+    note("answered", c->id, -1, "served");
     c->answered = true;
     --open_;
     ports_.clients.served(ref.command, std::move(reply));
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -55,6 +55,10 @@
   void names_changed(stagehinge::ListKind kind, const std::vector<stagehinge::WorkerEntry>& entries);
   void fail_all();  // the program must end: what is still open gets its answer now
 
+  // A line for each thing that happens to a command, for lab/fleet_table.py; the one log that grows with
+  // traffic.
+  void trace(Log trace) { trace_ = std::move(trace); }
+
   std::size_t open_commands() const { return open_; }
 
  private:
@@ -71,6 +75,7 @@
     transport::Deadlines::Handle deadline;
   };
 
+  void note(const char* what, stagehinge::RequestId id, int attempt, const std::string& text) const;
   void post(std::function<void()> event);
   void act(std::vector<stagehinge::Action>& actions);
   void carry_out(const stagehinge::Action& action);
@@ -92,7 +97,7 @@
   const transport::Clock& clock_;
   transport::Deadlines& deadlines_;
   Ports ports_;
-  Log log_;
+  Log log_, trace_;
   transport::SlotTable<Command> table_;
   std::unordered_map<stagehinge::RequestId, CommandRef> by_id_;  // also of commands that ended a moment ago
   std::deque<stagehinge::RequestId> ended_;                      // the ids of those, the longest ended first
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,5 +1,6 @@
 // Many dispatchers in front of a fleet that each of them hardly sees.
 #include <cmath>
+#include <deque>
 #include <memory>
 
 #include "support.h"
@@ -189,6 +190,46 @@
   EXPECT_GT(all, 0.2);  // a fair part is used
 }
 
+// Thirty of sixty workers have just been replaced, a hundred dispatchers have two jobs a second each, and all
+// warm workers are free. What share of the cold ones' least capacity is used in the first two seconds?
+TEST(Fleet, ManyColdWorkersAreUsedByTheirHoldersThoughOthersAreFree) {
+  double sent = 0;
+  for (int index = 0; index < 100; ++index) {
+    Settings set = one_of(100, index);
+    set.may_probe = true, set.reports = ReportMode::Inline, set.fall_span = Duration(2000);
+    Scene s(set);
+    std::vector<std::string> names;
+    for (int i = 0; i < 60; ++i) names.push_back(name(i));
+    auto list = fleet(s, names, 0);
+    for (int i = 0; i < 30; ++i) list[i].online_since = s.now;
+    s.list(list);
+    for (RequestId id = 1; id <= 4; ++id) {
+      s.request(id, 150);
+      std::string to = s.sent_to(id);
+      std::deque<std::string> asked;
+      auto note_asked = [&] {
+        for (const Action& a : s.of(ActionKind::Probe)) asked.emplace_back(a.worker);
+      };
+      for (note_asked(); !asked.empty(); asked.pop_front(), note_asked()) {
+        LoadReport free;
+        free.free_slots = 2;
+        s.actions.clear();
+        s.dispatcher_.on_probe_result(s.now, asked.front(), Outcome::Success, free, s.actions);
+        if (to.empty()) to = s.sent_to(id);
+      }
+      ASSERT_FALSE(to.empty());
+      if (std::stoi(to.substr(1)) < 30) sent += 150;
+      s.started(id);
+      s.pass(150);
+      s.end(id, 0, Outcome::Success, true);
+      s.pass(350);
+    }
+  }
+  double capacity = 30 * 2 * 2000 * 0.25;  // work in two seconds
+  EXPECT_GT(sent, 0.5 * capacity);         // it was nothing while they waited to be drawn
+  EXPECT_LT(sent, 2 * capacity);
+}
+
 TEST(Patience, AClientInAHurryIsServedWhereNobodyWaits) {
   Scene s(settings(Effect::Unsafe));
   s.list({s.worker("a")});
