Give out three quarters of a cold worker's budget where three share it

Change: the budget is cut into one share more than there are holders, and that one is left for hints that lie: a half for one, three quarters for three. Rule tests unchanged.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -63,7 +63,6 @@
 constexpr Duration kErrorGap = seconds(2);
 constexpr double kOverdue = 2.0;    // times the expected run before a job counts as overdue
 constexpr double kColdDoubt = 1.5;  // at least this much more than its hint a job counts for there
-constexpr double kColdPart = 0.5;   // of a cold worker's budget that is given out
 constexpr double kColdHolders = 3;  // that share it: one job longer than its hint must not spend it all
 constexpr double kColdTurn = 4;     // fall spans that the same dispatchers hold it
 constexpr int kLogLines = 200;
@@ -345,22 +344,21 @@
   }
 
   // Rule of cold workers: what may be sent within any fall span is multiple x capacity x span, by all of us.
-  // A few share it, picked by the worker's hash and our own index, and changed every few spans, as an idle
-  // holder wastes its part; new holders wait out the old ones' last span. In a drawn fleet nobody else looks
-  // at it, and its holders do so with each job: left to chance, most of a fleet replaced at once stood idle.
-  double cold_unit() const { return kColdPart * set_.tip_multiple * ms(set_.fall_span); }
+  // A few share it and leave one share over for hints that lie, picked by the worker's hash and our own
+  // index, and changed every few spans, as an idle holder wastes its part; new holders wait out the old ones'
+  // last span. In a drawn fleet nobody else looks at it, and its holders do so with each job: left to chance,
+  // most of a fleet replaced at once stood idle.
   double cold_budget(const Worker& w) const {
-    return cold_unit() * w.slots * std::min(w.speed, mean_speed_) * warmth(w);
+    return set_.tip_multiple * ms(set_.fall_span) * w.slots * std::min(w.speed, mean_speed_) * warmth(w);
   }
   double cold_share(const Worker& w) const {
-    double budget = cold_budget(w);
     double holders = std::min(kColdHolders, 1.0 * set_.balancers);
     double since_start = ms(now_ - (w.online_since == w.cold_since ? *w.cold_since : Time{}));
     double span = ms(set_.fall_span), turn = std::floor(since_start / (kColdTurn * span));
     bool waits = turn > 0 && holders < set_.balancers && since_start - turn * kColdTurn * span <= span;
     auto first = static_cast<std::uint64_t>(w.hash + 7919 * turn) % set_.balancers;
     auto place = (set_.index + set_.balancers - first) % set_.balancers;
-    return !waits && static_cast<double>(place) < holders ? budget / holders : 0;
+    return !waits && static_cast<double>(place) < holders ? cold_budget(w) / (holders + 1) : 0;
   }
 
   double felt(const Job& job, double doubt) const {  // never less than its class on average: hints lie
@@ -369,7 +367,7 @@
   bool within_budget(Worker& w, const Job& job) {
     if (warmth(w) >= 1) return true;
     double spread = class_stats_.at(job.request.job_class).hints.spread();  // its hint may lie by three of it
-    if (job.load() * spread * spread * spread > cold_budget(w) / kColdPart) return false;
+    if (job.load() * spread * spread * spread > cold_budget(w)) return false;
     double load = felt(job, std::max(kColdDoubt, spread));
     while (!w.sent.empty() && w.sent.front().first + set_.fall_span < now_) w.sent.pop_front();
     for (const auto& [at, work] : w.sent) load += work;
