Let the dispatchers near a worker tell each other the jobs they have there

Change: package src/gossip, pure: who is near (eight for each worker, by hash; nobody under 24 dispatchers), the message (3 bytes an entry, versioned, checked, what the sender has there now), the sums, what one sender may claim, how long it counts. One UDP socket in transport, a port, and in the module two exceptions: near workers with room come first, the one with least work by all that is told, asked by one probe where its report is over 1 s old; hearsay names no worker, brings none back, proves nothing.

--- a/include/stagehinge/dispatcher.h
+++ b/include/stagehinge/dispatcher.h
@@ -65,14 +65,14 @@
   Duration ramp_time{0};     // ...and all of it after this
   double tip_multiple = 1;   // a cold worker sent this multiple of its capacity...
   Duration fall_span{1000};  // ...for this long falls over
-  // The retry budget: within any window, attempts beyond a request's first number at most the free ones plus this
-  // share of the requests taken. Given all three or not at all; not at all: unlimited.
+  // The retry budget: within any window, attempts beyond a request's first number at most the free ones plus
+  // this share of the requests taken. Given all three or not at all; not at all: unlimited.
   std::optional<double> budget_free, extra_per_request;
   std::optional<Duration> extra_window;
   // prices, each as a fraction of the day's worth for one unit a request
   double price_cross_zone = 0;
-  // Requests a second of each tenant, at all dispatchers together, that are worth all; one beyond its tenant's share
-  // is worth this part. Empty: there are no tenants.
+  // Requests a second of each tenant, at all dispatchers together, that are worth all; one beyond its
+  // tenant's share is worth this part. Empty: there are no tenants.
   std::vector<double> tenant_quotas;
   double over_share_worth = 1;
   bool worth_by_work = false;
@@ -91,7 +91,8 @@
 };
 
 struct LoadReport {
-  std::optional<double> inflight, queue, busy, free_slots, free_memory, fail_rate;  // the last: errors a second
+  std::optional<double> inflight, queue, busy, free_slots, free_memory,
+      fail_rate;  // the last: errors a second
 };
 
 struct Request {
@@ -146,6 +147,9 @@
   void on_attempt_end(Time now, const AttemptEnd& end, std::vector<Action>& out);
   void on_probe_result(Time now, std::string_view worker, Outcome outcome, const LoadReport& report,
                        std::vector<Action>& out);
+  // What the other dispatchers say they have at a worker now, in jobs: hearsay, no more than a guess of its
+  // load.
+  void on_peers(Time now, std::string_view worker, double jobs, std::vector<Action>& out);
   void on_client_gone(Time now, RequestId id, std::vector<Action>& out);
   void on_timer(Time now, std::vector<Action>& out);
 
@@ -187,18 +191,20 @@
   Time decayed_{};
 };
 
-// Hints of one class against the work its jobs turned out to be, in logarithms and fading. Rough hints regress to
-// the mean: of the shortest most are too short. The slope says by how much to believe them.
+// Hints of one class against the work its jobs turned out to be, in logarithms and fading. Rough hints
+// regress to the mean: of the shortest most are too short. The slope says by how much to believe them.
 class HintModel {
  public:
-  double expected(double hint_ms) const;  // the sum over jobs stays that of the hints, only their spread shrinks
-  double spread() const;                  // how far, as a factor, a job may well be over what is expected of it
+  double expected(
+      double hint_ms) const;  // the sum over jobs stays that of the hints, only their spread shrinks
+  double spread() const;      // how far, as a factor, a job may well be over what is expected of it
   void learn(double hint_ms, double seen_ms);
 
  private:
   double slope() const;
 
-  double n_ = 0, hint_mean_ = 0, seen_mean_ = 0, hint_var_ = 0, seen_var_ = 0, both_ = 0, hints_ = 0, bent_ = 0;
+  double n_ = 0, hint_mean_ = 0, seen_mean_ = 0, hint_var_ = 0, seen_var_ = 0, both_ = 0, hints_ = 0,
+         bent_ = 0;
 };
 
 }  // namespace stagehinge
--- /dev/null
+++ b/src/gossip/loads.h
@@ -0,0 +1,73 @@
+// What dispatchers tell each other of the jobs they have at order workers, so that each knows what the others
+// put where since the last load report: the message, and the sums of what was heard. No sockets; time comes
+// from the caller.
+//
+// A message is a row of entries of three bytes: the format's version in the upper and the number of jobs (15:
+// that or more) in the lower half of the first, then a short name of the worker. An entry tells what the
+// sender has there now, so that one lost, doubled or late does no lasting harm, and what is not told again
+// within kKept is forgotten. All of it is hearsay: a guess of others' work and nothing else.
+#pragma once
+
+#include <stagehinge/dispatcher.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace oatledge::gossip {
+
+using stagehinge::Duration;
+using stagehinge::Time;
+
+// The numbers of the `dispatchers` that are near to a worker: they look at it first, and tell each other what
+// they have there. The same wherever it is asked, as many for each worker, and about as many workers for
+// each. Nobody in a small fleet, where each dispatcher sees enough by itself.
+std::vector<int> near_to(std::string_view worker, int dispatchers);
+
+inline constexpr std::size_t kLongest = 255;  // bytes of a message
+inline constexpr Duration kKept{10000};       // an entry counts for, unless the next comes before
+inline constexpr int kMostOfOne = 64;   // jobs that one sender is believed to have, all workers together
+inline constexpr int kMostThere = 255;  // and all senders at one worker
+
+class Loads {
+ public:
+  using Changed = std::function<void(const std::string& worker, int jobs)>;  // of all others there
+
+  // `self`: our own number among `dispatchers`.
+  Loads(int self, int dispatchers) : self_(self), dispatchers_(dispatchers) {}
+
+  // All that the own list names: no other is spoken of. Those that are new and near are told as changed, with
+  // 0.
+  void list(const std::vector<std::string>& workers, const Changed& changed);
+  // The others that are near to a worker, and so told of what we have there; nobody unless we are near
+  // ourselves.
+  std::vector<int> listeners(const std::string& worker) const;
+  std::string tell(const std::string& worker, int jobs);  // of our own jobs there; empty: nothing new
+  // False: not a message of ours, and nothing of it counts.
+  bool take(Time now, std::size_t sender, std::string_view message, const Changed& changed);
+  void expire(Time now, const Changed& changed);
+
+ private:
+  struct Claim {
+    int jobs = 0;
+    Time at{};
+  };
+  struct Worker {
+    std::string name;
+    int told = 0;                         // of our own jobs
+    std::vector<int> listeners;           // empty: not near
+    std::map<std::size_t, Claim> claims;  // by sender
+    int sum() const;
+  };
+  static std::uint16_t short_name(std::string_view worker);
+
+  int self_, dispatchers_;
+  std::unordered_map<std::uint16_t, Worker> workers_;
+  std::unordered_map<std::size_t, int> of_one_;  // jobs believed, by sender
+};
+
+}  // namespace oatledge::gossip
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -41,9 +41,11 @@
 constexpr int kAskRounds = 3;        // times a job may ask workers for their load before it goes
 constexpr std::size_t kAskEach = 2;  // workers asked each time
 constexpr Duration kAskTime{8};      // and five ticks: later answers come from workers too busy to be of use
+constexpr Duration kNearAge{1000};   // what news lack, errors above all, may be this old
 constexpr Duration kNewsAge{100};    // a report this young need not be asked for again
-constexpr double kKeptForResends = 1;  // further attempts that copies leave in the retry budget
-constexpr double kHopeless = 0.7;      // refuse only if even this share of the expected run would end late
+constexpr Duration kPeersLast = seconds(5);  // after the last news of any peer they tell nothing any more
+constexpr double kKeptForResends = 1;        // further attempts that copies leave in the retry budget
+constexpr double kHopeless = 0.7;  // refuse only if even this share of the expected run would end late
 
 // Shares of tenants.
 constexpr double kShareBurst = 2;           // seconds of a tenant's share that may come at once
@@ -380,6 +382,7 @@
   // EXCEPTION others' work: slots that reports, start notes and waits showed to be taken by jobs that are not
   // ours. It fades as such jobs end, within about two mean runs.
   double others(const Worker& w) const {
+    if (told(w)) return *w.peers;
     double usual = std::min(w.others, usual_others_ * w.slots);
     return usual + (w.others - usual) / (1 + (now_ - w.others_at) / Duration(2 * mean_work_));
   }
@@ -489,13 +492,14 @@
       int round = job.rounds++;
       bool cross = round == 1 && cross_price(job) < kCrossDoubt * kQueueShare;
       std::size_t before = job.asked.size();
-      draw(pools_[cross][(round < 2) == is_short(job)], kAskEach, [&](Worker& w) {
-        if (!eligible(w, job) || std::ranges::count(job.asked, &w)) return;
-        job.asked.push_back(&w);
-      });
+      auto consider = [&](Worker& w) {
+        if (eligible(w, job) && !std::ranges::count(job.asked, &w)) job.asked.push_back(&w);
+      };
+      if (Worker* w = near_free(job)) consider(*w);
+      else draw(pools_[cross][(round < 2) == is_short(job)], kAskEach, consider);
       for (std::size_t i = before; i < job.asked.size(); ++i) {
         Worker& w = *job.asked[i];
-        if (warmth(w) < 1 || (!w.probe_out && now_ - w.reported_at <= kNewsAge)) {
+        if (warmth(w) < 1 || (!w.probe_out && now_ - w.reported_at <= (told(w) ? kNearAge : kNewsAge))) {
           if (has_room(w, job)) return send(job, w), true;
           continue;
         }
@@ -507,6 +511,20 @@
     return false;
   }
 
+  // EXCEPTION near: the workers that news tell of come first, where one has room: the one with least work.
+  Worker* near_free(const Job& job) {
+    Worker* best = nullptr;
+    auto order = [&](const Worker& w) {
+      double work = w.own_work + *w.peers * mean_work_;
+      return std::pair(w.short_pool != is_short(job), work / (w.slots * likely_speed(w)));
+    };
+    for (Worker* w : ready_)
+      if (told(*w) && (!best || order(*w) < order(*best)) && has_room(*w, job) && eligible(*w, job) &&
+          !std::ranges::count(job.asked, w))
+        best = w;
+    return best;
+  }
+
   bool has_room(const Worker& w, const Job& job) const {
     return w.own_slots + others(w) + job.request.slots <= w.slots + 0.25;
   }
@@ -678,6 +696,16 @@
         out_->push_back({.kind = ActionKind::Cancel, .id = job.request.id, .attempt = static_cast<int>(i)});
   }
 
+  // EXCEPTION peers: reports are old by a second, and who looks free in one gets the jobs of all. The few
+  // dispatchers that are near a worker tell each other what they have there: that is others' work as of now.
+  void peers(std::string_view id, double jobs) {
+    heard_peers_ = now_;
+    auto it = workers_.find(id);
+    if (it == workers_.end()) return;
+    if (std::exchange(it->second.peers, jobs) > jobs) offer(it->second);
+  }
+  bool told(const Worker& w) const { return w.peers && now_ - heard_peers_ < kPeersLast; }
+
   void see_others(Worker& w, double slots) {
     w.others = std::max(0.0, slots), w.others_at = now_;
     usual_others_ += 0.02 * (std::min(kUsualMost, w.others / w.slots) - usual_others_);
@@ -1004,7 +1032,7 @@
   HintHistogram hints_;
   double cutoff_ = 0, short_share_ = 0.5, mean_work_ = 100, mean_worth_ = 0, usual_others_ = 0,
          usual_errors_ = 0, mean_speed_ = 1, most_slots_ = kGuessedSlots;
-  Time cutoff_due_{};
+  Time cutoff_due_{}, heard_peers_{Duration(-1e12)};
   bool subscribed_ = false, sweeping_ = false;
   std::uint64_t ask_ = 0;  // the latest call or wait for the list; its timer alone counts
   Duration ask_backoff_{0};
@@ -1070,6 +1098,9 @@
 void Dispatcher::on_probe_result(Time now, std::string_view w, Outcome o, const LoadReport& r, Actions& out) {
   logic_->at(now, out).probe_result(w, o, r);
 }
+void Dispatcher::on_peers(Time now, std::string_view worker, double jobs, Actions& out) {
+  logic_->at(now, out).peers(worker, jobs);
+}
 void Dispatcher::on_client_gone(Time now, RequestId id, Actions& out) { logic_->at(now, out).gone(id); }
 void Dispatcher::on_timer(Time now, Actions& out) { logic_->at(now, out).timer(); }
 double Dispatcher::cutoff_ms() const { return logic_->cutoff_; }
--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -95,11 +95,28 @@
   names_.trace(line);
 }
 
+void App::talk_to(UdpPeers& peers) {
+  peers_ = &peers;
+  peers.attach(router_);
+  router_.talk_to(peers);
+}
+
+// After the module has heard of them.
+void App::tell_peers(const protocol::NameList& list) {
+  if (!peers_) return;
+  if (list.whole) listed_.clear();
+  for (const protocol::Listed& l : list.entries)
+    if (l.entry.readiness == stagehinge::Readiness::Gone) listed_.erase(l.uid);
+    else listed_.insert(l.uid);
+  peers_->list({listed_.begin(), listed_.end()});
+}
+
 void App::start() {
   protocol::NameList known = config_.known.value_or(protocol::NameList{0, true, {}});
   instances_.update(known);
   if (!known.entries.empty()) names_.hold(known.revision);
   router_.start(entries_of(known));
+  tell_peers(known);
   if (!known.entries.empty()) front_.set_ready();
   if (!config_.settings.must_subscribe) names_.watch();
   log_.line("start", config_.name + " listens on " + config_.listen + ", knows " +
@@ -112,6 +129,7 @@
     front_.set_ready();
   }
   router_.names_changed(kind, entries_of(list));
+  if (kind != ListKind::Error) tell_peers(list);
 }
 
 // Open commands, what the module has learned, and the name table stay: only where discovery is asked moves.
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -104,6 +104,10 @@
              {"listen", c.listen},
              {"limits", limits.toStyledString()},
              {"settings", s.toStyledString()}};
+  if (reader.yes("Permissions.Peers")) {
+    if (all["peer_listen"].isString()) c.peer_listen = all["peer_listen"].asString();
+    for (const Json::Value& peer : all["peers"]) c.peers.push_back(peer.isString() ? peer.asString() : "");
+  }
   if (all["known"].isObject() && !all["known"].empty()) c.known = protocol::read_names(all["known"], c.words);
   return c;
 } catch (const std::exception& e) {  // jsoncpp's and the reader's errors among them
--- a/src/program/config.h
+++ b/src/program/config.h
@@ -18,6 +18,8 @@
   stagehinge::Settings settings;
   protocol::Vocabulary words;
   std::optional<protocol::NameList> known;
+  std::string peer_listen;         // empty: dispatchers do not talk with each other
+  std::vector<std::string> peers;  // their addresses, by the dispatchers' numbers
   // What a running program cannot take over, as written: a reload that changes one of these says so.
   std::map<std::string, std::string> fixed;
 };
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -76,6 +76,15 @@
   auto interrupt = on_signal(SIGINT, terminate, loop.context());
   auto hangup = on_signal(SIGHUP, reload, loop.context());
   if (trace) app.trace();
+  std::optional<program::UdpPeers> peers;
+  if (!config.peer_listen.empty()) try {
+      peers.emplace(loop.context(),
+                    program::UdpPeers::Options{config.peer_listen, config.peers, config.settings.index},
+                    deadlines, clock, log);
+      app.talk_to(*peers);
+    } catch (const std::runtime_error& e) {
+      log.line("peers", std::string("serves on without news of the others: ") + e.what());
+    }
   app.start();
   network.listen(config.listen, app.acceptor());
   while (!app.finished()) loop.turn();
--- /dev/null
+++ b/src/program/udp_peers.h
@@ -0,0 +1,48 @@
+// The other dispatchers over UDP: when the number of our attempts at an instance changes, those near to it
+// are told.
+#pragma once
+
+#include <unordered_map>
+
+#include "../gossip/loads.h"
+#include "../routing/router.h"
+#include "../transport/datagrams.h"
+#include "platform.h"
+
+namespace oatledge::program {
+
+class UdpPeers final : public routing::PeerSide {
+ public:
+  struct Options {
+    std::string listen;
+    std::vector<std::string> peers;  // by the dispatchers' numbers, to send to and to hear from
+    int self = 0;                    // our own number
+  };
+  // Throws std::runtime_error where the address cannot be had.
+  UdpPeers(GMainContext* context, Options options, transport::Deadlines& deadlines,
+           const transport::Clock& clock, Log& log);
+  ~UdpPeers() override { deadlines_.drop(sweep_); }
+
+  void attach(routing::Router& router) { router_ = &router; }
+  void list(
+      const std::vector<std::string>& instances);  // on the own list; after the module has heard of them
+  void have(const std::string& instance, int jobs) override;
+
+ private:
+  void received(const std::string& from, std::string_view bytes);
+  void sweep();
+  void heard(const std::string& instance, int jobs);
+
+  Options options_;
+  transport::Deadlines& deadlines_;
+  const transport::Clock& clock_;
+  Log& log_;
+  routing::Router* router_ = nullptr;
+  gossip::Loads loads_;
+  std::unordered_map<std::string, std::size_t> senders_;
+  std::size_t dropped_ = 0;
+  transport::Datagrams socket_;
+  transport::Deadlines::Handle sweep_;
+};
+
+}  // namespace oatledge::program
--- a/src/routing/ports.h
+++ b/src/routing/ports.h
@@ -70,4 +70,11 @@
   virtual void watch() = 0;  // from now on; changes and a failure come through Router::names_changed()
 };
 
+// The other dispatchers of the tier. What they have at an instance comes back through Router::peers_have().
+class PeerSide {
+ public:
+  virtual ~PeerSide() = default;
+  virtual void have(const std::string& instance, int jobs) = 0;  // so many attempts of ours are there now
+};
+
 }  // namespace oatledge::routing
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -143,6 +143,21 @@
   });
 }
 
+void Router::peers_have(const std::string& instance, int jobs) {
+  post([this, instance, jobs] {
+    std::vector<Action> actions;
+    dispatcher_->on_peers(clock_.now(), instance, jobs, actions);
+    act(actions);
+  });
+}
+
+void Router::count(const std::string& instance, int more) {
+  if (!ports_.peers) return;
+  int& jobs = at_[instance];
+  ports_.peers->have(instance, jobs += more);
+  if (jobs == 0) at_.erase(instance);
+}
+
 void Router::fail_all() {
   post([this] {
     for (CommandRef ref : table_.refs()) {
@@ -194,7 +209,7 @@
   // as the simulator told it.
   bool sent = !c->answered && clock_.now() < c->ends && attempt < settings_.max_attempts && !spent(*c);
   c->attempts.push_back({instance, sent});
-  if (sent) note("sent", a.id, attempt, instance);
+  if (sent) note("sent", a.id, attempt, instance), count(instance, 1);
   if (sent) return ports_.instances.submit({ref, attempt}, instance, c->cargo, c->ends - clock_.now());
   post([=, this, id = a.id, final = c->answered] {
     tell_end(id, attempt, final, instance, Outcome::Void, {});
@@ -233,6 +248,7 @@
   if (reply.rest && !serves) reply.rest->abandon();  // nobody will take it
   if (!open) return;
   c->attempts[ref.attempt].open = false;
+  count(c->attempts[ref.attempt].instance, -1);
   note("ended", c->id, ref.attempt,
        c->attempts[ref.attempt].instance + " " + kOutcomes[static_cast<int>(outcome)]);
   if (serves) {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -33,6 +33,7 @@
     ClientSide& clients;
     InstanceSide& instances;
     NameTableSide& names;
+    PeerSide* peers = nullptr;  // none: nothing is told or heard
   };
   using Log = std::function<void(const std::string&)>;
 
@@ -53,10 +54,12 @@
   void probe_ended(const std::string& instance, stagehinge::Outcome outcome,
                    const stagehinge::LoadReport& report);
   void names_changed(stagehinge::ListKind kind, const std::vector<stagehinge::WorkerEntry>& entries);
+  void peers_have(const std::string& instance, int jobs);
   void fail_all();  // the program must end: what is still open gets its answer now
 
   // A line for each thing that happens to a command, for lab/fleet_table.py; the one log that grows with
   // traffic.
+  void talk_to(PeerSide& peers) { ports_.peers = &peers; }
   void trace(Log trace) { trace_ = std::move(trace); }
 
   std::size_t open_commands() const { return open_; }
@@ -89,6 +92,7 @@
   void tell_end(stagehinge::RequestId id, int attempt, bool final, const std::string& instance,
                 stagehinge::Outcome outcome, const stagehinge::LoadReport& report);
   void time_up(CommandRef ref);
+  void count(const std::string& instance, int more);
   void close_answered(CommandRef ref, Command& c);
   void drop_client(CommandRef ref);
   Command* by_id(stagehinge::RequestId id, CommandRef& ref);
@@ -105,6 +109,7 @@
   std::deque<std::function<void()>> events_;
   bool running_ = false;
   std::size_t open_ = 0;
+  std::unordered_map<std::string, int> at_;  // open attempts, by instance
 };
 
 }  // namespace oatledge::routing
--- a/src/state.h
+++ b/src/state.h
@@ -46,6 +46,7 @@
   bool listed = false, ready = false, short_pool = false;
   double others = 0;  // slots held by jobs that are not ours, as of others_at
   Time others_at{}, reported_at{};
+  std::optional<double> peers;  // jobs there, as the other dispatchers tell; none: they do not tell of it
   // what our jobs there add up to
   double own_work = 0, own_slots = 0, own_memory = 0, started_slots = 0;
   std::vector<Outstanding> out;
--- /dev/null
+++ b/src/transport/datagrams.h
@@ -0,0 +1,32 @@
+// One UDP socket in the loop. A lost or refused datagram is nobody's concern.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "glib.h"
+
+namespace oatledge::transport {
+
+class Datagrams {
+ public:
+  // From whom, as HOST:PORT, and what; no more than the buffer's 512 bytes of it.
+  using Received = std::function<void(const std::string& from, std::string_view bytes)>;
+
+  // Throws std::runtime_error where the address cannot be had.
+  Datagrams(GMainContext* context, const std::string& address, Received received);
+  void send(const std::string& to, std::string_view bytes);
+
+ private:
+  static gboolean readable(GSocket* socket, GIOCondition condition, gpointer data);
+  void read_some();
+
+  Received received_;
+  ObjectPtr<GSocket> socket_;
+  SourcePtr source_;
+  std::string to_;  // of `peer_`, kept as most go to one address
+  ObjectPtr<GSocketAddress> peer_;
+};
+
+}  // namespace oatledge::transport
--- a/src/transport/gio_network.cpp
+++ b/src/transport/gio_network.cpp
@@ -10,6 +10,8 @@
 #include <array>
 #include <stdexcept>
 
+#include "address.h"
+
 namespace oatledge::transport {
 namespace {
 
@@ -27,16 +29,6 @@
 constexpr std::uint32_t kReset = EPOLLERR;  // comes unasked; names what is waited for where nothing else is
 constexpr std::size_t kPartsAtOnce = 64;    // slices in one gathered write
 
-ObjectPtr<GSocketAddress> parse_address(const std::string& text) {
-  std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return nullptr;
-  std::string host = text.substr(0, colon), port = text.substr(colon + 1);
-  guint64 number = 0;
-  if (!g_ascii_string_to_unsigned(port.c_str(), 10, 1, 65535, &number, nullptr)) return nullptr;
-  return ObjectPtr<GSocketAddress>(
-      g_inet_socket_address_new_from_string(host.c_str(), static_cast<guint>(number)));
-}
-
 ObjectPtr<GSocket> new_socket(GSocketAddress* address, Error& error) {
   ObjectPtr<GSocket> s(g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM,
                                     G_SOCKET_PROTOCOL_TCP, error.out()));
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -230,6 +230,74 @@
   EXPECT_LT(sent, 2 * capacity);
 }
 
+// A dispatcher of a hundred that hears of the workers w0 to w4 what the others have there.
+struct NearScene : Scene {
+  explicit NearScene(int workers = 40) : Scene(near_settings()) {
+    std::vector<std::string> names;
+    for (int i = 0; i < workers; ++i) names.push_back(name(i));
+    list(fleet(*this, names, 0));
+    for (int i = 0; i < 5; ++i) say(i, 0);
+  }
+  static Settings near_settings() {
+    Settings set = one_of(100, 7);
+    set.may_probe = true, set.reports = ReportMode::Inline;
+    return set;
+  }
+  void say(int worker, double jobs) {
+    actions.clear();
+    dispatcher_.on_peers(now, name(worker), jobs, actions);
+  }
+  // The one that a new job asks first, or goes to at once.
+  std::string first(RequestId id) {
+    request(id, 100);
+    for (const Action& a : actions)
+      if (a.kind == ActionKind::Probe || a.kind == ActionKind::Send) return std::string(a.worker);
+    return {};
+  }
+};
+
+TEST(Near, AJobGoesToTheNearWorkerWithLeastOfAllWork) {
+  NearScene s;
+  for (int i : {0, 1, 3, 4}) s.say(i, 1);
+  EXPECT_EQ(s.first(1), "w2");
+  LoadReport full;  // it is old by a second: what the others tell goes before it
+  full.free_slots = 0;
+  s.actions.clear();
+  s.dispatcher_.on_probe_result(s.now, "w2", Outcome::Success, full, s.actions);
+  EXPECT_EQ(s.sent_to(1), "w2");
+}
+
+TEST(Near, WhereNoneOfThemHasRoomOthersAreAsked) {
+  NearScene s;
+  for (int i = 0; i < 5; ++i) s.say(i, 2);
+  std::string asked = s.first(1);
+  ASSERT_FALSE(asked.empty());
+  EXPECT_GE(std::stoi(asked.substr(1)), 5);
+}
+
+TEST(Near, NewsThatDryUpCountNoMore) {
+  NearScene s;
+  for (int i = 0; i < 5; ++i) s.say(i, 2);
+  s.now += Duration(6000);
+  std::map<bool, int> near;
+  for (RequestId id = 1; id <= 60; ++id) {
+    std::string asked = s.first(id);
+    if (!asked.empty()) ++near[std::stoi(asked.substr(1)) < 5];
+  }
+  EXPECT_GT(near[true], 0);
+  EXPECT_GT(near[false], near[true]);
+}
+
+TEST(Near, HearsayNamesNoWorkerAndBringsNoneBack) {
+  NearScene s;
+  s.actions.clear();
+  s.dispatcher_.on_peers(s.now, "stranger", 0, s.actions);
+  EXPECT_TRUE(s.actions.empty());
+  s.list({s.worker("w2", 0, 0, Readiness::Terminating)}, ListKind::Partial);
+  s.say(2, 0);
+  for (RequestId id = 1; id <= 40; ++id) EXPECT_NE(s.first(id), "w2");
+}
+
 TEST(Patience, AClientInAHurryIsServedWhereNobodyWaits) {
   Scene s(settings(Effect::Unsafe));
   s.list({s.worker("a")});
--- a/tests/net/sockets_test.cpp
+++ b/tests/net/sockets_test.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 #include <catch2/catch.hpp>
 
+#include "../../src/program/udp_peers.h"
 #include "../../src/transport/gio_network.h"
 #include "../../src/transport/loop.h"
 
@@ -168,3 +169,50 @@
     CHECK(s.server.bytes.size() - before <= (256 << 10) + (64 << 10));
   }
 }
+
+TEST_CASE("datagrams: only a peer's own kind of message is taken, and the rest does no harm") {
+  SteadyClock clock;
+  Deadlines deadlines;
+  Loop loop(deadlines, clock);
+  auto address = [](int i) {
+    return "127." + std::to_string(1 + getpid() % 250) + "." + std::to_string(getpid() / 250 % 250) + "." +
+           std::to_string(20 + i) + ":47010";
+  };
+  std::string log_text;
+  oatledge::program::Log log(clock, [&](const std::string& line) { log_text += line + '\n'; });
+  oatledge::program::UdpPeers::Options options;
+  options.listen = address(0);
+  for (int i = 0; i < 24; ++i) options.peers.push_back(address(i));
+  oatledge::program::UdpPeers peers(loop.context(), options, deadlines, clock, log);
+  int got = 0;
+  std::size_t longest = 0;
+  auto count = [&](const std::string&, std::string_view bytes) {
+    ++got, longest = std::max(longest, bytes.size());
+  };
+  Datagrams peer(loop.context(), address(1), count), stranger(loop.context(), address(30), count);
+  CHECK_THROWS_AS(Datagrams(loop.context(), address(1), count), std::runtime_error);  // taken
+  CHECK_THROWS_AS(Datagrams(loop.context(), "nowhere", count), std::runtime_error);
+  auto said = [&](const std::string& text) { return log_text.find(text) != std::string::npos; };
+  const std::string good = "\x11\x22\x33";
+  stranger.send(address(0), good);
+  while (!said("1 messages dropped, the latest of 3 bytes from " + address(30))) loop.turn();
+  peer.send(address(0), std::string(2000, 'x'));
+  while (!said("2 messages dropped, the latest of 512 bytes from " + address(1))) loop.turn();
+  peer.send(address(0), "");
+  while (!said("3 messages dropped, the latest of 0 bytes from " + address(1))) loop.turn();
+  peer.send(address(0), good);
+  peer.send(address(0), "bad");
+  while (!said("4 messages dropped, the latest of 3 bytes from " + address(1)))
+    loop.turn();         // not the good one
+  std::string instance;  // one that is near to both
+  for (int i = 0; instance.empty(); ++i) {
+    auto near = oatledge::gossip::near_to("s-" + std::to_string(i), 24);
+    if (std::ranges::count(near, 0) && std::ranges::count(near, 1)) instance = "s-" + std::to_string(i);
+  }
+  peers.list({instance});
+  peers.have(instance, 2);
+  while (got == 0) loop.turn();
+  CHECK(got == 1);
+  CHECK(longest == 3);
+  peer.send("not an address", good);  // goes nowhere
+}
