Leave a worker alone only for more errors than one by chance in a second brings

Seen: a single chance error shows as up to 0.96 errors a second in a report, which in a fleet of eight took a sound worker out for 2 s. The bound was 0.15 of what a worker could serve and twice what is usual; now 0.25 and once.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -61,7 +61,7 @@
 constexpr Duration kDoubtHalfLife = seconds(5);
 constexpr Duration kDownAgain = seconds(2);  // taken as down again within this, a worker waits for its trial
 constexpr int kTrusted = 3;           // jobs of a class served in a row, after which one that fails is chance
-constexpr double kErrorShare = 0.15;  // of the jobs that a worker could serve: more failed are no chance
+constexpr double kErrorShare = 0.25;  // of the jobs that a worker could serve: more failed are no chance
 constexpr Duration kErrorGap = seconds(2);
 constexpr double kOverdue = 2.0;    // times the expected run before a job counts as overdue
 constexpr double kColdDoubt = 1.5;  // at least this much more than its hint a job counts for there
@@ -838,7 +838,7 @@
     // own. Its reports tell: one that fails far more of what it could serve than others do is left alone a
     // while.
     double errors = r.fail_rate.value_or(NAN) * (mean_slot_time(w) / Duration(seconds(1)));
-    if (errors > kErrorShare + 2 * usual_errors_) w.full_until = std::max(w.full_until, now_ + kErrorGap);
+    if (errors > kErrorShare + usual_errors_) w.full_until = std::max(w.full_until, now_ + kErrorGap);
     if (errors >= 0) usual_errors_ += 0.02 * (std::min(1.0, errors) - usual_errors_);
     if (!r.free_slots || !std::isfinite(*r.free_slots)) return;
     double free = std::max(0.0, *r.free_slots);
