--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -838,7 +838,7 @@
     // own. Its reports tell: one that fails far more of what it could serve than others do is left alone a
     // while.
     double errors = r.fail_rate.value_or(NAN) * (mean_slot_time(w) / Duration(seconds(1)));
-    if (errors > kErrorShare + usual_errors_) w.full_until = std::max(w.full_until, now_ + kErrorGap);
+    if (errors > kErrorShare + 2 * usual_errors_) w.full_until = std::max(w.full_until, now_ + kErrorGap);
     if (errors >= 0) usual_errors_ += 0.02 * (std::min(1.0, errors) - usual_errors_);
     if (!r.free_slots || !std::isfinite(*r.free_slots)) return;
     double free = std::max(0.0, *r.free_slots);
