--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -57,9 +57,9 @@
   void peers_have(const std::string& instance, int jobs);
   void fail_all();  // the program must end: what is still open gets its answer now
 
+  void talk_to(PeerSide& peers) { ports_.peers = &peers; }  // before start()
   // A line for each thing that happens to a command, for lab/fleet_table.py; the one log that grows with
   // traffic.
-  void talk_to(PeerSide& peers) { ports_.peers = &peers; }
   void trace(Log trace) { trace_ = std::move(trace); }
 
   std::size_t open_commands() const { return open_; }
