--- a/src/gossip/loads.cpp
+++ b/src/gossip/loads.cpp
@@ -30,8 +30,8 @@
   return near;
 }
 
-// The same at every dispatcher. Two workers of one short name share what is heard of either: both look
-// busier.
+// The same at every dispatcher. Of two workers with one short name only the first has news, in which what is
+// at the second is mixed: a wrong guess of its load, no more.
 std::uint16_t Loads::short_name(std::string_view worker) {
   return static_cast<std::uint16_t>(XXH3_64bits(worker.data(), worker.size()));
 }
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -493,10 +493,12 @@
       bool cross = round == 1 && cross_price(job) < kCrossDoubt * kQueueShare;
       std::size_t before = job.asked.size();
       auto consider = [&](Worker& w) {
+        if (told(w) && !has_room(w, job)) return;
         if (eligible(w, job) && !std::ranges::count(job.asked, &w)) job.asked.push_back(&w);
       };
-      if (Worker* w = near_free(job)) consider(*w);
-      else draw(pools_[cross][(round < 2) == is_short(job)], kAskEach, consider);
+      Worker* near = near_free(job);  // none is drawn then, but the cold ones that are ours come first
+      draw(pools_[cross][(round < 2) == is_short(job)], near ? 0 : kAskEach, consider);
+      if (near) consider(*near);
       for (std::size_t i = before; i < job.asked.size(); ++i) {
         Worker& w = *job.asked[i];
         if (warmth(w) < 1 || (!w.probe_out && now_ - w.reported_at <= (told(w) ? kNearAge : kNewsAge))) {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -26,11 +26,12 @@
       log_(std::move(log)),
       table_(most_commands) {}
 
-void Router::note(const char* what, stagehinge::RequestId id, int attempt, const std::string& text) const {
+void Router::note(const char* what, stagehinge::RequestId id, int attempt, std::string_view text,
+                  const char* more) const {
   if (!trace_) return;
   char head[64];
   std::snprintf(head, sizeof head, "%s %016llx %d ", what, static_cast<unsigned long long>(id), attempt);
-  trace_(head + text);
+  trace_(std::string(head).append(text).append(*more ? " " : "").append(more));
 }
 
 // The module is never entered from inside one of its own actions: what a port reports meanwhile waits here.
@@ -72,7 +73,7 @@
   ++open_;
   Command& kept = *table_.find(*ref);
   kept.deadline = deadlines_.add(kept.ends, [this, r = *ref] { time_up(r); });
-  note("taken", n.request.id, -1, std::to_string(n.request.job_class));
+  note("taken", n.request.id, -1, "");
   known(*ref);
   post([this, request = n.request] {
     std::vector<Action> actions;
@@ -128,7 +129,7 @@
 
 void Router::probe_ended(const std::string& instance, Outcome outcome, const LoadReport& report) {
   post([=, this] {
-    note("probed", 0, -1, instance + " " + kOutcomes[static_cast<int>(outcome)]);
+    note("probed", 0, -1, instance, kOutcomes[static_cast<int>(outcome)]);
     std::vector<Action> actions;
     dispatcher_->on_probe_result(clock_.now(), instance, outcome, report, actions);
     act(actions);
@@ -249,8 +250,7 @@
   if (!open) return;
   c->attempts[ref.attempt].open = false;
   count(c->attempts[ref.attempt].instance, -1);
-  note("ended", c->id, ref.attempt,
-       c->attempts[ref.attempt].instance + " " + kOutcomes[static_cast<int>(outcome)]);
+  note("ended", c->id, ref.attempt, c->attempts[ref.attempt].instance, kOutcomes[static_cast<int>(outcome)]);
   if (serves) {
     note("answered", c->id, -1, "served");
     c->answered = true;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -78,7 +78,8 @@
     transport::Deadlines::Handle deadline;
   };
 
-  void note(const char* what, stagehinge::RequestId id, int attempt, const std::string& text) const;
+  void note(const char* what, stagehinge::RequestId id, int attempt, std::string_view text,
+            const char* more = "") const;
   void post(std::function<void()> event);
   void act(std::vector<stagehinge::Action>& actions);
   void carry_out(const stagehinge::Action& action);
