Take new settings at SIGHUP, whole or not at all, while orders are open

Change: a reload is held against the file in force (same keys and types, positive deadlines and attempts, effects that are known) before anything changes. Classes, tenants, zones and kinds keep their numbers; a job holds a copy of its class and its number of attempts; the module gains on_settings.

--- a/include/stagehinge/dispatcher.h
+++ b/include/stagehinge/dispatcher.h
@@ -131,8 +131,7 @@
 
 using Actions = std::vector<Action>;
 
-// One scheduler's decisions. Throws std::invalid_argument at construction only, on settings that make no
-// sense.
+// One scheduler's decisions. Throws std::invalid_argument on settings that make no sense, and never else.
 class Dispatcher {
  public:
   Dispatcher(const Settings& settings, Time now, std::vector<Action>& out);
@@ -142,6 +141,10 @@
 
   // Each event appends what is to be done to `out`.
   void on_list(Time now, ListKind kind, const std::vector<WorkerEntry>& entries, std::vector<Action>& out);
+  // Settings that hold for the requests to come; throws as the constructor does, and nothing has changed
+  // then. The numbers of classes and tenants mean the same ones for good: new ones come behind, none is used
+  // anew.
+  void on_settings(const Settings& settings);
   void on_request(Time now, const Request& request, std::vector<Action>& out);
   void on_note(Time now, RequestId id, int attempt, std::string_view worker, NoteKind kind, Actions& out);
   void on_attempt_end(Time now, const AttemptEnd& end, std::vector<Action>& out);
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -83,9 +83,18 @@
 class Dispatcher::Logic {
  public:
   Logic(const Settings& settings, Time now, std::vector<Action>& out)
-      : set_(settings), now_(now), out_(&out), random_(settings.seed) {
-    validate(set_);
-    for (double quota : set_.tenant_quotas) tenants_.push_back({quota}), all_quotas_ += quota;
+      : now_(now), out_(&out), random_(settings.seed) {
+    retune(settings);
+  }
+
+  // For the jobs to come: open ones keep the class and the number of attempts that they came with. What has
+  // been learned stays, as classes and tenants keep their numbers.
+  void retune(const Settings& settings) {
+    validate(settings);
+    set_ = settings, all_quotas_ = 0;
+    tenants_.resize(set_.tenant_quotas.size());
+    for (std::size_t i = 0; i < tenants_.size(); ++i)
+      all_quotas_ += tenants_[i].quota = set_.tenant_quotas[i];
   }
 
   Logic& at(Time now, Actions& out) { return now_ = now, out_ = &out, *this; }
@@ -231,7 +240,7 @@
     if (r.job_class >= set_.classes.size() || jobs_.contains(r.id)) return;
     Job& job = jobs_[r.id];
     job.request = r;
-    job.cls = &set_.classes[r.job_class];
+    job.cls = set_.classes[r.job_class], job.most = set_.max_attempts;
     job.request.slots = std::isfinite(r.slots) ? std::clamp(r.slots, 1.0, 1e6) : 1;
     job.request.memory = std::isfinite(r.memory) ? std::clamp(r.memory, 0.0, 1e6) : 0;
     bool hinted = r.hint && ms(*r.hint) > 0 && ms(*r.hint) <= kSaneWorkMs;  // also false for NaN
@@ -245,12 +254,12 @@
     // A client's repeat comes with less patience than a first try; the difference is the time already lost.
     stats.patience = std::max(stats.patience, r.patience);
     Duration lost = stats.patience - r.patience;
-    Duration wanted = std::min(job.cls->aim + Duration(job.cls->stretch * job.work), stats.patience);
+    Duration wanted = std::min(job.cls.aim + Duration(job.cls.stretch * job.work), stats.patience);
     job.ends = now_ + r.patience + r.transfer - 2 * set_.tick - Duration(2);
     job.limit = std::min(now_ + wanted - lost, job.ends);
     // EXCEPTION short patience: where that leaves no time at all, it may as well be a first try in a hurry:
     // it goes where it keeps nobody waiting. May hurt when repeats of a long overload find free slots.
-    if (job.limit < now_ + Duration(job.work / mean_speed_) && lost > Duration(0) && job.cls->late_worth <= 0)
+    if (job.limit < now_ + Duration(job.work / mean_speed_) && lost > Duration(0) && job.cls.late_worth <= 0)
       job.limit = std::min(now_ + wanted, job.ends), job.late = true;
     // EXCEPTION share: a job beyond its tenant's share is worth little and goes where it keeps nobody waiting
     // and a slot stays free beside it, after all others that are held. May hurt where one tenant's clients
@@ -290,7 +299,7 @@
     return false;
   }
 
-  double worth(const Job& job) const { return job.cls->worth * (set_.worth_by_work ? job.load() : 1); }
+  double worth(const Job& job) const { return job.cls.worth * (set_.worth_by_work ? job.load() : 1); }
   double cross_price(const Job& job) const {  // as a share of a job's slack that a crossing must save
     return kCrossDoubt * set_.price_cross_zone * mean_worth_ / std::max(1e-9, worth(job));
   }
@@ -299,7 +308,7 @@
   // ---- The choice of a worker ----
 
   bool can_run(const Worker& w, const Job& job) const {
-    if (job.cls->kind >= 0 && job.cls->kind != w.kind) return false;
+    if (job.cls.kind >= 0 && job.cls.kind != w.kind) return false;
     if (job.request.slots >= w.cannot_slots) return false;
     return !w.slots_seen || std::max(job.request.slots, job.request.memory) <= most_slots_ + 0.5;
   }
@@ -313,19 +322,19 @@
   // proved: queues are not ours. No sane timeout, or a shorter span: no repeat. Guards also against own
   // stalls, as now_ is read anew; may hurt where connecting is far quicker than its timeout.
   bool refusable(const Job& job) const {
-    return job.cls->effect == Effect::Safe || std::ranges::none_of(job.attempts, &Attempt::may_have_run);
+    return job.cls.effect == Effect::Safe || std::ranges::none_of(job.attempts, &Attempt::may_have_run);
   }
   bool may_send(const Worker& w, const Job& job) const {
-    if (static_cast<int>(job.attempts.size()) >= set_.max_attempts) return false;
+    if (std::ssize(job.attempts) >= std::min(job.most, set_.max_attempts)) return false;
     double timeout = ms(set_.connect_timeout.value_or(Duration(-1)));
     double margin = timeout >= 0 ? 2 * timeout + 2 * ms(set_.tick) : INFINITY;
     for (const Attempt& a : job.attempts) {
       if (a.open && (!set_.parallel_tries || a.worker == &w)) return false;
-      if (!a.may_have_run || job.cls->effect == Effect::Safe) continue;
-      double left = ms(a.since + job.cls->memory_span - now_) - margin;
-      if (job.cls->effect == Effect::Unsafe || !(left > 0 && std::isfinite(left))) return false;
-      if (job.cls->group == Group::Zone && a.zone != w.zone) return false;
-      if (job.cls->group == Group::Cell && a.cell != w.cell) return false;
+      if (!a.may_have_run || job.cls.effect == Effect::Safe) continue;
+      double left = ms(a.since + job.cls.memory_span - now_) - margin;
+      if (job.cls.effect == Effect::Unsafe || !(left > 0 && std::isfinite(left))) return false;
+      if (job.cls.group == Group::Zone && a.zone != w.zone) return false;
+      if (job.cls.group == Group::Cell && a.cell != w.cell) return false;
     }
     return true;
   }
@@ -335,8 +344,8 @@
     auto shun = w.shunned.find(job.request.job_class);
     if (now_ < w.full_until || (shun != w.shunned.end() && now_ < shun->second.until)) return false;
     if (d >= kDown)
-      return !set_.may_probe && now_ >= w.trial_at && w.out.empty() && job.cls->effect != Effect::Unsafe;
-    return d < kDoubtful || job.cls->effect != Effect::Unsafe;
+      return !set_.may_probe && now_ >= w.trial_at && w.out.empty() && job.cls.effect != Effect::Unsafe;
+    return d < kDoubtful || job.cls.effect != Effect::Unsafe;
   }
 
   double warmth(const Worker& w) const {  // fraction of its capacity that a started worker surely has
@@ -424,11 +433,6 @@
     return cross ? away.worker : home.worker;
   }
 
-  struct Choice {
-    Worker* worker = nullptr;
-    double delay_share = 1;  // of the job's slack; the least seen where no worker will do
-  };
-
   Choice best_of(const Job& job, bool cross) {
     Choice best;
     double least = 0;
@@ -465,7 +469,7 @@
 
   template <class Visit>
   void look(const Job& job, const Pool& pool, Visit visit) {
-    bool tied = job.cls->kind >= 0 || std::ranges::any_of(job.attempts, &Attempt::may_have_run);
+    bool tied = job.cls.kind >= 0 || std::ranges::any_of(job.attempts, &Attempt::may_have_run);
     bool all = !draws() || tied || few() >= pool.workers.size();
     if (!all && job.asked.empty()) return draw(pool, few(), visit);
     for (Worker* w : all ? pool.workers : job.asked) visit(*w);
@@ -592,7 +596,7 @@
     Duration grace = Duration(50) + 4 * set_.tick;
     arm(now_ + (set_.tells_start ? grace : kOverdue * run_time(w, job) + grace), DueKind::Watch,
         job.request.id);
-    if (set_.tells_start && job.cls->late_worth <= 0) arm(last_chance(job), DueKind::Watch, job.request.id);
+    if (set_.tells_start && job.cls.late_worth <= 0) arm(last_chance(job), DueKind::Watch, job.request.id);
   }
 
   // ---- EXCEPTION hold: no worker can start the job soon ----
@@ -624,7 +628,7 @@
   void limit_due(Job& job) {
     if (!job.held_key || now_ < last_chance(job) || place(job)) return;
     unhold(job);
-    if (job.cls->late_worth > 0 && !job.late) {
+    if (job.cls.late_worth > 0 && !job.late) {
       job.limit = job.ends, job.late = true;
       if (!place(job)) hold(job);
     } else if (refusable(job) || !any_open(job)) {
@@ -736,7 +740,7 @@
     // A second copy, where effects allow it, pays when another worker can still be in time. In a drawn fleet
     // one is all: where none of two starts, queues are long, and cancelled copies may run on.
     auto counts = draws() ? &Attempt::may_have_run : &Attempt::open;
-    if (lagging && job.cls->effect != Effect::Unsafe && set_.parallel_tries &&
+    if (lagging && job.cls.effect != Effect::Unsafe && set_.parallel_tries &&
         std::ranges::count(job.attempts, true, counts) < 2 && extra_allowed(true))
       if (Worker* w = choose(job); w && (urgent || has_room(*w, job))) send(job, *w);
   }
@@ -744,7 +748,7 @@
   // Still in a worker's queue when even an immediate start would end late, and late is worth nothing: the job
   // is given up and cancelled, so that those behind it move up. Part of hold: a refusal after the sending.
   bool waiting_in_vain(const Job& job) {
-    bool gives_up = set_.tells_start && set_.cancelling && job.cls->late_worth <= 0;
+    bool gives_up = set_.tells_start && set_.cancelling && job.cls.late_worth <= 0;
     return gives_up && now_ >= last_chance(job) && std::ranges::none_of(job.attempts, &Attempt::started);
   }
 
@@ -943,7 +947,7 @@
     if (!place(job)) hold(job);
   }
 
-  // Rule of the final answer: this timer ends every job that is still open shortly before the client gives
+  // Rule of the final answer: a timer ends what is still open so, shortly before the client gives up.
   void answer_due(Job& job) { finish(job, refusable(job) ? ActionKind::Reject : ActionKind::Fail); }
 
   void finish(Job& job, ActionKind answer) {
@@ -1002,12 +1006,6 @@
     if (++logged_ <= kLogLines) out_->push_back({.kind = ActionKind::Log, .text = std::move(text)});
   }
 
-  struct ClassStats {
-    double mean_work = 100, jobs = 0;
-    Duration patience{0};
-    HintModel hints;
-  };
-
   Settings set_;
   Time now_;
   std::vector<Action>* out_;
@@ -1086,6 +1084,7 @@
 void Dispatcher::on_list(Time now, ListKind kind, const std::vector<WorkerEntry>& entries, Actions& out) {
   logic_->at(now, out).list(kind, entries);
 }
+void Dispatcher::on_settings(const Settings& settings) { logic_->retune(settings); }
 void Dispatcher::on_request(Time now, const Request& r, Actions& out) { logic_->at(now, out).request(r); }
 void Dispatcher::on_note(Time now, RequestId id, int attempt, std::string_view w, NoteKind k, Actions& out) {
   logic_->at(now, out).note(id, attempt, w, k);
--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -156,15 +156,21 @@
 bool App::cordon(const std::string& instance) { return tell(roster_.cordon(instance, clock_.now())); }
 bool App::uncordon(const std::string& instance) { return tell(roster_.uncordon(instance, clock_.now())); }
 
-// Open commands, what the module has learned, and the name table stay: only where discovery is asked moves.
-// What the module and the tables were built with stays as it is until a restart.
-void App::reload(const Config& next) {
+// The settings hold for the commands to come; open ones, what the module has learned, and the name table
+// stay. Only what the program was built with stays as it is until a restart.
+void App::reload(Config next) {
   std::string kept;
   for (const auto& [field, text] : next.fixed)
     if (config_.fixed[field] != text) kept += (kept.empty() ? "" : ", ") + field;
   bool moved = next.discovery != config_.discovery;
+  bool retuned = next.file["settings"] != config_.file["settings"];
+  keep_numbers(config_, next);
+  if (retuned) router_.retune(next.settings);
+  config_.settings = std::move(next.settings), config_.words = std::move(next.words);
+  config_.conn_idle = next.conn_idle, config_.file = std::move(next.file);
+  if (retuned) instances_.retime(instance_times(config_));
   ++figures_.cfg_accepted;
-  log_.line("reload", "configuration read; discovery " +
+  log_.line("reload", std::string("configuration read; ") + (retuned ? "new settings; " : "") + "discovery " +
                           (moved ? "moves to " + next.discovery : "stays at " + config_.discovery) +
                           (kept.empty() ? "" : "; changed, but needs a restart: " + kept));
   config_.discovery = next.discovery;
--- a/src/program/app.h
+++ b/src/program/app.h
@@ -27,7 +27,8 @@
   void trace();  // from here on, a line in the log for each thing that happens to a command; before start()
   void talk_to(UdpPeers& peers);  // before start()
   void start();
-  void reload(const Config& next);             // SIGHUP
+  void reload(Config next);  // SIGHUP; read against in_force()
+  const Json::Value& in_force() const { return config_.file; }
   void reload_failed(const std::string& why);  // the same, where the file makes no sense
   void terminate();                            // SIGTERM
   bool healthy() const override;
--- a/src/program/http_instances.h
+++ b/src/program/http_instances.h
@@ -21,6 +21,7 @@
       : on_(on), times_(times), streaming_(std::move(streaming)) {}
 
   void attach(routing::Router& router) { router_ = &router; }
+  void retime(Times times) { times_ = times; }
   void update(const protocol::NameList& list);  // where the instances are; before the module hears of them
 
   void submit(routing::AttemptRef attempt, const std::string& instance,
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -51,8 +51,9 @@
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // one that comes before there is anything to reload must not end the program
   const transport::Duration to_steady = wall_to_steady();
-  auto read = [&](program::Occasion occasion) {
-    return program::read_config(read_file(environment("ROUTER_CONFIG")), environment, to_steady, occasion);
+  auto read = [&](program::Occasion occasion, const Json::Value& in_force = {}) {
+    return program::read_config(read_file(environment("ROUTER_CONFIG")), environment, to_steady, occasion,
+                                in_force);
   };
   program::Config config = read(program::Occasion::Start);
   transport::SteadyClock clock;
@@ -74,7 +75,7 @@
   // Guards a serving program against a file that is half written or wrong: it goes on as it was.
   std::function<void()> reload = [&] {
     try {
-      app.reload(read(program::Occasion::Reload));
+      app.reload(read(program::Occasion::Reload, app.in_force()));
     } catch (const std::exception& e) {
       app.reload_failed(e.what());
     }
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -161,7 +161,7 @@
   c.id = m.header("X-Correlation-Id");
   c.request.id = read_id(c.id);
   auto job_class = index_of(words.classes, m.header("X-Service-Class"));
-  if (!job_class) throw Refused("unknown X-Service-Class");
+  if (!job_class || words.dropped[*job_class]) throw Refused("unknown X-Service-Class");
   c.request.job_class = *job_class;
   auto tenant = index_of(words.tenants, m.header("X-Account"));
   if (!words.tenants.empty() && !tenant) throw Refused("unknown X-Account");
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -24,6 +24,7 @@
 struct Vocabulary {
   std::vector<std::string> classes, tenants, zones, kinds, report_columns;
   std::vector<bool> keyed;                      // by class
+  std::vector<bool> dropped;                    // by class: new settings name it no more
   std::vector<stagehinge::Duration> deadlines;  // by class
   stagehinge::settings::Columns columns;
   // A wall-clock start as a time of the module's clock. The distance is read once, at the program's start:
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -66,8 +66,8 @@
 Router::Taking Router::take(NewCommand n, const std::function<void(CommandRef)>& known) {
   if (by_id_.contains(n.request.id)) return Taking::Duplicate;
   Command c;
-  c.id = n.request.id, c.job_class = n.request.job_class, c.cargo = std::move(n.cargo),
-  c.ends = clock_.now() + n.request.patience + n.request.transfer;
+  c.id = n.request.id, c.job_class = n.request.job_class, c.most_attempts = settings_.max_attempts,
+  c.cargo = std::move(n.cargo), c.ends = clock_.now() + n.request.patience + n.request.transfer;
   std::optional<CommandRef> ref = table_.insert(std::move(c));
   if (!ref) return count_nack(n.request.job_class), Taking::Full;
   by_id_[n.request.id] = *ref;
@@ -160,6 +160,13 @@
   if (jobs == 0) at_.erase(instance);
 }
 
+void Router::retune(const stagehinge::Settings& settings) {
+  post([this, settings] {
+    settings_ = settings;
+    dispatcher_->on_settings(settings);
+  });
+}
+
 void Router::fail_all() {
   post([this] {
     for (CommandRef ref : table_.refs()) {
@@ -221,7 +228,7 @@
   int attempt = static_cast<int>(c->attempts.size());
   // Past the end, past the deadline or past the last attempt allowed nothing goes out; the module learns it
   // as the simulator told it.
-  bool sent = !c->answered && clock_.now() < c->ends && attempt < settings_.max_attempts && !spent(*c);
+  bool sent = !c->answered && clock_.now() < c->ends && attempt < c->most_attempts && !spent(*c);
   c->attempts.push_back({instance, sent});
   if (sent) note("sent", a.id, attempt, instance), count(instance, 1);
   if (sent) return ports_.instances.submit({ref, attempt}, instance, c->cargo, c->ends - clock_.now());
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -56,6 +56,7 @@
                    const stagehinge::LoadReport& report);
   void names_changed(stagehinge::ListKind kind, const std::vector<stagehinge::WorkerEntry>& entries);
   void peers_have(const std::string& instance, int jobs);
+  void retune(const stagehinge::Settings& settings);  // for the commands to come
   void fail_all();  // the program must end: what is still open gets its answer now
 
   void talk_to(PeerSide& peers) { ports_.peers = &peers; }  // before start()
@@ -76,6 +77,7 @@
   struct Command {
     stagehinge::RequestId id = 0;
     std::size_t job_class = 0;
+    int most_attempts = 1;  // as the settings were when it came
     std::shared_ptr<const Cargo> cargo;
     transport::Time ends{};
     bool answered = false;
--- a/src/state.h
+++ b/src/state.h
@@ -86,11 +86,12 @@
 
 struct Job {
   Request request;
-  const ClassSettings* cls;
-  double hint = 0;  // as it came; 0: none
-  double work;      // what is expected of it, ms at standard speed
-  Time limit;       // to be of worth by; moves from aim to deadline where late answers have worth
-  Time ends;        // the client's patience less a margin
+  ClassSettings cls;  // as it was when the job came
+  int most = 1;       // attempts, likewise
+  double hint = 0;    // as it came; 0: none
+  double work;        // what is expected of it, ms at standard speed
+  Time limit;         // to be of worth by; moves from aim to deadline where late answers have worth
+  Time ends;          // the client's patience less a margin
   std::vector<Attempt> attempts;
   bool late = false;  // only late worth is left: runs where it keeps nobody waiting
   bool over = false;  // beyond its tenant's share: the same, and after all others that are held
@@ -101,6 +102,17 @@
   int awaited = 0, rounds = 0;
 };
 
+struct ClassStats {  // of the jobs of a class
+  double mean_work = 100, jobs = 0;
+  Duration patience{0};  // the longest: of a first try
+  HintModel hints;
+};
+
+struct Choice {
+  Worker* worker = nullptr;
+  double delay_share = 1;  // of the job's slack; the least seen where no worker will do
+};
+
 struct Recent {  // requests of late, each counting for less as time goes by
   double count = 0;
   Time at{};
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -119,6 +119,60 @@
   }
 }
 
+// A file that is half written, or that lacks something, must not be taken for one that means to leave it out.
+TEST_CASE("a reload takes whole files that can be worked with, and nothing else") {
+  std::string text = testing::read_file(OATLEDGE_NET_TESTS "/config.json");
+  program::Config now = config(text);
+  auto reload = [&](const std::string& file) {
+    auto nothing = [](const char*) { return std::string(); };
+    return program::read_config(file, nothing, stagehinge::Duration(0), program::Occasion::Reload, now.file);
+  };
+  CHECK_NOTHROW(reload(text));
+  for (std::size_t n = 0; n < text.find_last_of('}'); ++n)
+    CHECK_THROWS_AS(reload(text.substr(0, n)), std::runtime_error);
+  const std::string bad[][2] = {{R"("DeadlineMs": 5000.0)", R"("DeadlineMs": 0)"},
+                                {R"("DeadlineMs": 5000.0)", R"("DeadlineMs": -1)"},
+                                {R"("DeadlineMs": 5000.0)", R"("DeadlineMs": "5 s")"},
+                                {R"("DeadlineMs": 5000.0)", R"("DeadlineMs": null)"},
+                                {R"("DeadlineMs": 5000.0, )", ""},
+                                {R"("DeadlineMs": 5000.0)", R"("DeadlineMs": 1e999)"},
+                                {R"("MaxAttempts": 3)", R"("MaxAttempts": 0)"},
+                                {R"("MaxAttempts": 3)", R"("MaxAttempts": -2)"},
+                                {R"("MaxAttempts": 3)", R"("MaxAttempts": 0.5)"},
+                                {R"("MaxAttempts": 3)", R"("MaxAttempts": true)"},
+                                {R"("MaxAttempts": 3,)", ""},
+                                {R"("Effect": "keyed")", R"("Effect": "often")"},
+                                {R"("Name": "group-order")", R"("Name": "place-order")"},
+                                {R"("discovery": "10.9.0.1:8500", )", ""},
+                                {R"("limits")", R"("limit")"},
+                                {R"("TipMultiple": 3.0)", R"("TipMultiple": -3.0)"},
+                                {R"("Localities": ["room"])", R"("Localities": [])"},
+                                {R"("Balancers": 1)", R"("Balancers": [1])"}};
+  for (const auto& [was, is] : bad) {
+    std::string file = text;
+    REQUIRE(file.find(was) != std::string::npos);
+    INFO(was << " as " << is);
+    CHECK_THROWS_AS(reload(file.replace(file.find(was), was.size(), is)), std::runtime_error);
+  }
+}
+
+TEST_CASE("classes, tenants, zones and kinds keep their numbers") {
+  program::Config now = config(), next = config();
+  next.words.classes = {"new", "group-order"}, next.words.tenants = {"b", "lanting, bento"};
+  next.words.zones = {"other", "room"}, next.words.kinds = {"big", "std"};
+  next.settings.zone = 1, next.settings.tenant_quotas = {5, 7};
+  next.settings.classes[0].deadline = stagehinge::Duration(77), next.settings.classes[0].kind = 0;
+  program::keep_numbers(now, next);
+  CHECK(next.words.classes == std::vector<std::string>{"place-order", "group-order", "new"});
+  CHECK(next.words.dropped == std::vector<bool>{true, false, false});
+  CHECK(next.settings.classes[0].deadline == now.settings.classes[0].deadline);
+  CHECK(next.settings.classes[2].deadline == stagehinge::Duration(77));
+  CHECK(next.words.deadlines[2] == stagehinge::Duration(77));
+  CHECK(next.settings.classes[2].kind == 1);
+  CHECK(next.settings.zone == 0);
+  CHECK(next.settings.tenant_quotas == std::vector<double>{7, 5});
+}
+
 // Guards against death by memory or descriptors: what clients may take leaves room for the rest.
 TEST_CASE("descriptors are shared out within the limits") {
   program::Config c = config();
--- a/tests/net/player.h
+++ b/tests/net/player.h
@@ -141,9 +141,9 @@
     *at = protocol::parse_json("[" + value + "]")[0];
   }
 
-  program::Config read(program::Occasion occasion) {
+  program::Config read(program::Occasion occasion, const Json::Value& in_force = {}) {
     auto environment = [this](const char* variable) { return environment_[variable]; };
-    return program::read_config(config_json_.toStyledString(), environment, transport::Duration(0), occasion);
+    return program::read_config(config_json_.toStyledString(), environment, transport::Duration(0), occasion, in_force);
   }
 
   void start() {
@@ -152,7 +152,7 @@
     app_->start();
   }
 
-  void reload() try { app_->reload(read(program::Occasion::Reload)); } catch (const std::runtime_error& e) {
+  void reload() try { app_->reload(read(program::Occasion::Reload, app_->in_force())); } catch (const std::runtime_error& e) {
     app_->reload_failed(e.what());
   }
 
