--- a/lab/standins.cpp
+++ b/lab/standins.cpp
@@ -23,6 +23,7 @@
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <utility>
 
 extern char** environ;
 
@@ -443,12 +444,10 @@
   }
 }
 
-Answer hand_in(const std::string& address, const Order& o) {
+namespace {
+
+Answer hand_in_on(Wire& wire, const Order& o, Clock::time_point start) {
   Answer a;
-  auto start = Clock::now();
-  int fd = Wire::dial(address, o.rate_up || o.rate_down ? 64 << 10 : 0);
-  if (fd < 0) return a;
-  Wire wire(fd);
   char id[17];
   std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(o.id));
   std::string head = "POST /api?" + o.query + " HTTP/1.1\r\nHost: lab\r\nX-Correlation-Id: " + id +
@@ -479,21 +478,64 @@
   });
   a.sha = got.hex();
   a.ms = ms_since(start);
+  return a;
+}
+
+}  // namespace
+
+Answer hand_in(const std::string& address, const Order& o) {
+  auto start = Clock::now();
+  int fd = Wire::dial(address, o.rate_up || o.rate_down ? 64 << 10 : 0);
+  if (fd < 0) return {};
+  Wire wire(fd);
+  Answer a = hand_in_on(wire, o, start);
   a.unread = a.whole && wire.pending(0) && !wire.some(1).empty();
   return a;
 }
 
-Dispatcher::Dispatcher(const Setup& s, Fleet& fleet) {
-  char pattern[] = "/tmp/oatledge-lab-XXXXXX";
-  folder_ = mkdtemp(pattern);
-  // A port that was free a moment ago, on an address that nobody else uses.
+struct Regular::Line {
+  explicit Line(int fd) : wire(fd) {}
+  Wire wire;
+};
+Regular::Regular(const std::string& address) : line_(std::make_unique<Line>(Wire::dial(address))) {}
+Regular::~Regular() = default;
+Answer Regular::hand_in(const Order& order) { return hand_in_on(line_->wire, order, Clock::now()); }
+void Regular::begin(const std::string& text) { line_->wire.send(text); }
+
+long Call::figure(const std::string& name) const {
+  std::size_t at = body.find(name + "=");
+  return at == std::string::npos ? -1 : std::stol(body.substr(at + name.size() + 1));
+}
+
+Call call(const std::string& operators, const std::string& method, const std::string& target) {
+  Call c;
+  int fd = Wire::dial(operators);
+  if (fd < 0) return c;
+  Wire wire(fd);
+  Head head;
+  if (!wire.send(method + " " + target + " HTTP/1.1\r\nContent-Length: 0\r\n\r\n") || !read_head(wire, head))
+    return c;
+  c.status = std::stoi(head.first.substr(9, 3));
+  read_body(wire, head, 0, [&](std::string_view bytes) { return c.body += bytes, true; });
+  return c;
+}
+
+// A port that was free a moment ago, on an address that nobody else uses.
+std::string Dispatcher::free_address() const {
   int probe = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in a = parse(s.host + ":0");
+  sockaddr_in a = parse(setup_.host + ":0");
   socklen_t size = sizeof a;
   bind(probe, reinterpret_cast<sockaddr*>(&a), size);
   getsockname(probe, reinterpret_cast<sockaddr*>(&a), &size);
   close(probe);
-  address_ = s.host + ":" + std::to_string(ntohs(a.sin_port));
+  return setup_.host + ":" + std::to_string(ntohs(a.sin_port));
+}
+
+Dispatcher::Dispatcher(const Setup& s, Fleet& fleet) : setup_(s) {
+  char pattern[] = "/tmp/oatledge-lab-XXXXXX";
+  folder_ = mkdtemp(pattern);
+  std::filesystem::create_directory(folder_ + "/tmp");
+  address_ = free_address();
   fleet.call_back_to(address_);
   Json::Value config;
   std::ifstream(s.config) >> config;
@@ -501,13 +543,22 @@
   config["limits"]["sockets"] = s.sockets;
   std::ofstream(folder_ + "/config.json") << config;
   std::ofstream(folder_ + "/features.textproto") << s.features;
+  start(true);
+}
+
+void Dispatcher::start(bool wait_at_clients) {
   std::string features = folder_ + "/features.textproto";
-  std::vector<const char*> arguments{s.program.c_str()};
-  if (!s.features.empty()) arguments.insert(arguments.end(), {"--features", features.c_str()});
+  std::vector<const char*> arguments{setup_.program.c_str()};
+  if (!setup_.features.empty()) arguments.insert(arguments.end(), {"--features", features.c_str()});
   arguments.push_back(nullptr);
   std::vector<std::string> variables{"ROUTER_CONFIG=" + folder_ + "/config.json"};
   for (char** e = environ; *e; ++e)
-    if (!std::string_view(*e).starts_with("ROUTER_")) variables.push_back(*e);
+    if (!std::string_view(*e).starts_with("ROUTER_") && !std::string_view(*e).starts_with("TMPDIR="))
+      variables.push_back(*e);
+  if (setup_.operators) {
+    operators_ = free_address();
+    variables.insert(variables.end(), {"ROUTER_OPS=" + operators_, "TMPDIR=" + folder_ + "/tmp"});
+  }
   std::vector<char*> environment;
   for (std::string& v : variables) environment.push_back(v.data());
   environment.push_back(nullptr);
@@ -515,37 +566,67 @@
   posix_spawn_file_actions_init(&files);
   posix_spawn_file_actions_addopen(&files, 2, (folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                    0600);
-  int failed = posix_spawn(&pid_, s.program.c_str(), &files, nullptr, const_cast<char**>(arguments.data()),
-                           environment.data());
+  int failed = posix_spawn(&pid_, setup_.program.c_str(), &files, nullptr,
+                           const_cast<char**>(arguments.data()), environment.data());
   posix_spawn_file_actions_destroy(&files);
-  if (failed) throw std::runtime_error("cannot start " + s.program);
+  if (failed) throw std::runtime_error("cannot start " + setup_.program);
   for (int i = 0; i < 2000; ++i) {  // until it is ready
-    if (int fd = Wire::dial(address_); fd >= 0) {
+    if (int fd = Wire::dial(wait_at_clients ? address_ : operators_); fd >= 0) {
       Wire wire(fd);
       Head head;
-      if (wire.send("GET /ready HTTP/1.1\r\n\r\n") && read_head(wire, head) &&
-          head.first.find(" 200 ") != std::string::npos)
+      if (wire.send(std::string("GET ") + (wait_at_clients ? "/ready" : "/admin/health") +
+                    " HTTP/1.1\r\n\r\n") &&
+          read_head(wire, head) && head.first.find(" 200 ") != std::string::npos)
         return;
     }
-    if (waitpid(pid_, nullptr, WNOHANG) != 0) throw std::runtime_error("it ended at once:\n" + log());
+    if (waitpid(pid_, nullptr, WNOHANG) != 0) {
+      pid_ = -1;
+      throw std::runtime_error("it ended at once:\n" + log());
+    }
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
   }
   throw std::runtime_error("it does not become ready:\n" + log());
 }
 
+bool Dispatcher::start_beside() {
+  old_pid_ = std::exchange(pid_, -1), old_operators_ = operators_;
+  try {
+    start(false);
+    return true;
+  } catch (const std::runtime_error&) {
+    if (pid_ > 0) kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
+    pid_ = std::exchange(old_pid_, -1), operators_ = old_operators_;
+    return false;
+  }
+}
+
+void Dispatcher::kill_now() {
+  kill(pid_, SIGKILL);
+  waitpid(pid_, nullptr, 0);
+  pid_ = std::exchange(old_pid_, -1);
+  if (pid_ > 0) operators_ = old_operators_;
+  else start(true);
+}
+
 Dispatcher::~Dispatcher() {
-  if (pid_ > 0) kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
+  for (int pid : {pid_, old_pid_})
+    if (pid > 0) kill(pid, SIGKILL), waitpid(pid, nullptr, 0);
   std::error_code ignored;
   std::filesystem::remove_all(folder_, ignored);
 }
 
-int Dispatcher::end() {
+namespace {
+int terminate(int& pid) {
   int status = 0;
-  kill(pid_, SIGTERM);
-  waitpid(pid_, &status, 0);
-  pid_ = -1;
+  kill(pid, SIGTERM);
+  waitpid(pid, &status, 0);
+  pid = -1;
   return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
+}  // namespace
+
+int Dispatcher::end() { return terminate(pid_); }
+int Dispatcher::end_old() { return terminate(old_pid_); }
 
 std::string Dispatcher::log() const {
   std::ifstream in(folder_ + "/log");
--- a/lab/standins.h
+++ b/lab/standins.h
@@ -104,12 +104,34 @@
 };
 Answer hand_in(const std::string& address, const Order& order);
 
+// A service client that keeps its connection. `answer.status` is 0 from when that has ended.
+class Regular {
+ public:
+  explicit Regular(const std::string& address);
+  ~Regular();
+  Answer hand_in(const Order& order);
+  void begin(const std::string& text);  // sends a part of something, or more of it
+
+ private:
+  struct Line;
+  std::unique_ptr<Line> line_;
+};
+
+// One operator's call; the status line's number, 0 when there was no answer, and the body.
+struct Call {
+  int status = 0;
+  std::string body;
+  long figure(const std::string& name) const;  // of a page of figures; -1: not there
+};
+Call call(const std::string& operators, const std::string& method, const std::string& target);
+
 // The program itself, as a process.
 class Dispatcher {
  public:
   struct Setup {
     std::string program, config, features, host;  // config: a file; features: a text, empty: none
     int sockets = 4096;
+    bool operators = false;  // with an address for them, and a $TMPDIR
   };
   Dispatcher(const Setup& setup, Fleet& fleet);
   ~Dispatcher();  // ends it
@@ -117,12 +139,23 @@
   int pid() const { return pid_; }
   std::uint64_t memory_kb(const char* field) const;  // VmHWM, VmRSS
   double cpu_ms() const;
-  int end();  // SIGTERM; its exit code
+  const std::string& operators() const { return operators_; }
+  const std::string& folder() const { return folder_; }  // its $TMPDIR is "tmp" in it
+  int end();                                             // SIGTERM; its exit code
+  // A second process beside it, with an operators' address of its own; this one becomes the old one. What is
+  // asked of a Dispatcher goes to the new one from then on. False: it ended by itself.
+  bool start_beside();
+  int end_old();    // SIGTERM; its exit code
+  void kill_now();  // SIGKILL to the newest, and the old one, if there is one, is the one again
+  const std::string& old_operators() const { return old_operators_; }
   std::string log() const;
 
  private:
-  std::string folder_, address_;
-  int pid_ = -1;
+  void start(bool wait_at_clients);
+  std::string free_address() const;
+  Setup setup_;
+  std::string folder_, address_, operators_, old_operators_;
+  int pid_ = -1, old_pid_ = -1;
 };
 
 void run_on(int first, int last);  // this thread, on these cores, where there are so many
--- a/src/operations/roster.cpp
+++ b/src/operations/roster.cpp
@@ -9,6 +9,7 @@
 
 NameList Roster::apply(const NameList& news) {
   if (news.whole) listed_.clear();
+  revision_ = news.revision;
   NameList out{news.revision, news.whole, {}};
   for (const Listed& l : news.entries) {
     if (l.entry.readiness == Readiness::Gone) {
@@ -32,12 +33,30 @@
 Listed Roster::seen(const Listed& l) const {
   Listed s = l;
   auto hand = by_hand_.find(l.uid);
-  if (hand == by_hand_.end()) return s;
-  if (hand->second.back) s.entry.online_since = hand->second.back;
-  else if (s.entry.readiness == Readiness::Ready) s.entry.readiness = Readiness::Terminating;
+  bool by_hand = hand != by_hand_.end();
+  if (by_hand && hand->second.back) s.entry.online_since = hand->second.back;
+  bool out = by_hand && !hand->second.back;
+  bool cold = cold_since_ && s.entry.online_since && *s.entry.online_since > *cold_since_;
+  if ((out || cold) && s.entry.readiness == Readiness::Ready) s.entry.readiness = Readiness::Terminating;
   return s;
 }
 
+NameList Roster::all() const {
+  NameList heard;
+  for (const auto& [uid, l] : listed_) heard.entries.push_back(seen(l));
+  return heard;
+}
+
+NameList Roster::hold_cold(std::optional<Time> since) {
+  cold_since_ = since;
+  return all();
+}
+
+NameList Roster::inherit(std::map<std::string, ByHand> by_hand) {
+  by_hand_ = std::move(by_hand);
+  return all();
+}
+
 std::optional<NameList> Roster::cordon(const std::string& uid, Time now) {
   auto listed = listed_.find(uid);
   auto hand = by_hand_.find(uid);
--- a/src/operations/roster.h
+++ b/src/operations/roster.h
@@ -21,16 +21,27 @@
   std::optional<protocol::NameList> uncordon(const std::string& uid, stagehinge::Time now);
 
   const std::map<std::string, protocol::Listed>& listed() const { return listed_; }
+  std::int64_t revision() const { return revision_; }
+
+  // While two processes are this dispatcher, instances that started after `since` get nothing from this one:
+  // it does not know what the other has sent there. Nothing: no more. Returns what the module is to hear.
+  protocol::NameList hold_cold(std::optional<stagehinge::Time> since);
 
- private:
   struct ByHand {
     stagehinge::Time since;                // of the call out
     std::optional<stagehinge::Time> back;  // of the call back; none: it is out
   };
+  const std::map<std::string, ByHand>& by_hand() const { return by_hand_; }
+  protocol::NameList inherit(std::map<std::string, ByHand> by_hand);  // in place of what is known here
+
+ private:
+  protocol::NameList all() const;
   protocol::Listed seen(const protocol::Listed& l) const;
 
   std::map<std::string, protocol::Listed> listed_;  // without those that are gone
   std::map<std::string, ByHand> by_hand_;           // outlives every list
+  std::int64_t revision_ = 0;
+  std::optional<stagehinge::Time> cold_since_;
 };
 
 }  // namespace oatledge::operations
--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -136,7 +136,7 @@
 
 // ---- The operators' calls ----
 
-bool App::healthy() const { return front_.ready(); }
+bool App::healthy() const { return front_.ready() && serves_; }
 
 std::string App::stats() {
   auto avoided =
@@ -146,15 +146,29 @@
       {router_.open_commands(), roster_.listed().size(), static_cast<std::size_t>(avoided)});
 }
 
-bool App::tell(const std::optional<protocol::NameList>& heard) {
-  if (!heard) return false;
-  instances_.update(*heard);
-  if (!heard->entries.empty()) router_.names_changed(ListKind::Partial, entries_of(*heard));
-  return true;
+void App::hear(const protocol::NameList& heard) {
+  if (heard.entries.empty()) return;
+  instances_.update(heard);
+  router_.names_changed(ListKind::Partial, entries_of(heard));
 }
 
-bool App::cordon(const std::string& instance) { return tell(roster_.cordon(instance, clock_.now())); }
-bool App::uncordon(const std::string& instance) { return tell(roster_.uncordon(instance, clock_.now())); }
+bool App::by_hand(const std::string& instance, bool out) {
+  auto heard = out ? roster_.cordon(instance, clock_.now()) : roster_.uncordon(instance, clock_.now());
+  if (heard) hear(*heard);
+  return heard.has_value();
+}
+
+bool App::cordon(const std::string& instance) {
+  bool known = by_hand(instance, true);
+  if (known && tell_by_hand_) tell_by_hand_(instance, true);
+  return known;
+}
+
+bool App::uncordon(const std::string& instance) {
+  bool known = by_hand(instance, false);
+  if (known && tell_by_hand_) tell_by_hand_(instance, false);
+  return known;
+}
 
 // The settings hold for the commands to come; open ones, what the module has learned, and the name table
 // stay. Only what the program was built with stays as it is until a restart.
@@ -205,8 +219,10 @@
     router_.fail_all();
   }
   if (last_call) front_.cut_streams();
-  if (since >= std::max(kStillComing, kServedOn * time)) front_.close_connections();
-  if (last_call || (since >= kStillComing && router_.open_commands() == 0 && front_.empty())) {
+  bool passing =
+      front_.passing();  // to the process that has taken over: nothing new comes, nothing is closed
+  if (!passing && since >= std::max(kStillComing, kServedOn * time)) front_.close_connections();
+  if (last_call || ((passing || since >= kStillComing) && router_.open_commands() == 0 && front_.empty())) {
     deadlines_.add(clock_.now() + kFarewell, [this] { finished_ = true; });
     return;
   }
--- a/src/program/app.h
+++ b/src/program/app.h
@@ -31,6 +31,17 @@
   const Json::Value& in_force() const { return config_.file; }
   void reload_failed(const std::string& why);  // the same, where the file makes no sense
   void terminate();                            // SIGTERM
+  // What the other process of this dispatcher, during an upgrade, has to do with.
+  HttpFront& front() { return front_; }
+  routing::Router& router() { return router_; }
+  operations::Roster& roster() { return roster_; }
+  const protocol::Vocabulary& words() const { return config_.words; }
+  void serve(bool on) { serves_ = on; }  // false: another process still does, and this one's health is a no
+  void hear(const protocol::NameList& heard);           // of the roster
+  bool by_hand(const std::string& instance, bool out);  // false: unknown
+  using TellByHand = std::function<void(const std::string& instance, bool out)>;
+  void on_by_hand(TellByHand tell) { tell_by_hand_ = std::move(tell); }  // calls that were taken here
+
   bool healthy() const override;
   std::string stats() override;
   bool cordon(const std::string& instance) override;
@@ -39,7 +50,6 @@
 
  private:
   void tell_peers();
-  bool tell(const std::optional<protocol::NameList>& heard);
   void names_changed(stagehinge::ListKind kind, const protocol::NameList& list);
   void drain();
 
@@ -56,7 +66,8 @@
   routing::Router router_;
   UdpPeers* peers_ = nullptr;
   std::optional<transport::Time> terminated_;
-  bool finished_ = false;
+  bool finished_ = false, serves_ = true;
+  TellByHand tell_by_hand_;
 };
 
 }  // namespace oatledge::program
--- a/src/program/front_streams.cpp
+++ b/src/program/front_streams.cpp
@@ -168,7 +168,8 @@
 
 void HttpFront::on_written(SlotRef at) {
   auto it = sessions_.find(at);
-  if (it == sessions_.end() || !it->second.transfer) return;
+  if (it == sessions_.end()) return;
+  if (!it->second.transfer) return void(try_pass(at));
   it->second.transfer->replies.moved(on_.clock.now());
   pump_reply(at);
 }
--- a/src/program/http_front.cpp
+++ b/src/program/http_front.cpp
@@ -23,9 +23,14 @@
 
 }  // namespace
 
-void HttpFront::on_accepted(SlotRef at) {
+HttpFront::Session& HttpFront::begin(SlotRef at) {
   Session& s = sessions_[at];
   if (on_streams_) s.parser.stream(is_command, on_streams_->most_body);
+  return s;
+}
+
+void HttpFront::on_accepted(SlotRef at) {
+  Session& s = begin(at);
   s.place = ++order_;
   fresh_[s.place] = at;
   wait_for_whole(at, s, kFirst);
@@ -39,7 +44,7 @@
   s.parser.feed(bytes);
   // Guards memory: a client may send ahead while its command runs, but little of it is kept. The command
   // itself must not be lost for that.
-  if ((s.command || s.transfer) && s.parser.buffered() > protocol::kMostHead) hold(at, s, true);
+  if ((s.command || s.transfer || s.asks) && s.parser.buffered() > protocol::kMostHead) hold(at, s, true);
   work(at);
 }
 
@@ -48,7 +53,8 @@
 void HttpFront::work(SlotRef at) {
   for (int handled = 0;; ++handled) {
     auto it = sessions_.find(at);
-    if (it == sessions_.end() || it->second.command || it->second.transfer) return;
+    if (it == sessions_.end() || it->second.command || it->second.transfer || it->second.asks) return;
+    if (try_pass(at)) return;
     Session& s = it->second;
     if (handled == kMessagesATurn && !s.parser.idle()) {
       hold(at, s, true);
@@ -156,7 +162,21 @@
   } catch (const protocol::Refused& e) {
     return reject(at, 400, std::string("call-back: ") + e.what());
   }
+  if (forward_ && !router_->knows(n.id) && forward_(m.body, [this, at](bool taken) {
+        auto it = sessions_.find(at);
+        if (it == sessions_.end()) return;
+        it->second.asks = false;
+        respond(at, taken ? 204 : 503, {}, {});  // after a 503 the instance calls again
+        work(at);
+      })) {
+    sessions_.at(at).asks = true;
+    return;
+  }
   respond(at, 204, {}, {});
+  hear(std::move(n));
+}
+
+void HttpFront::hear(protocol::News n) {
   routing::Progress p;
   p.id = n.id, p.instance = std::move(n.from), p.report = n.report, p.result = std::move(n.result);
   using What = protocol::News::What;
@@ -272,6 +292,34 @@
   return false;
 }
 
+void HttpFront::pass_on(PassOn pass) {
+  pass_ = std::move(pass);
+  std::vector<SlotRef> all;
+  for (const auto& [at, s] : sessions_) all.push_back(at);
+  for (SlotRef at : all) try_pass(at);
+}
+
+bool HttpFront::try_pass(SlotRef at) {
+  auto it = sessions_.find(at);
+  if (!pass_ || it == sessions_.end()) return false;
+  Session& s = it->second;
+  if (s.command || s.transfer || s.asks || s.more.order != 0) return false;
+  std::optional<std::string> unread = s.parser.unread();
+  if (!unread) return false;
+  transport::Descriptor connection = on_.network.release(at);
+  if (!connection) return false;
+  bool used = !fresh_.contains(s.place);
+  forget(at);
+  pass_(std::move(connection), std::move(*unread), used);
+  return true;
+}
+
+void HttpFront::adopt(SlotRef at, std::string_view unread, bool used) {
+  if (used) begin(at);
+  else on_accepted(at);
+  on_bytes(at, unread);
+}
+
 void HttpFront::close_connections() {
   closing_ = true;
   finish_all(idle_);
--- a/src/program/http_front.h
+++ b/src/program/http_front.h
@@ -27,8 +27,20 @@
   // Answers close their connections from now on, and each call closes those that are idle.
   void close_connections();
   bool empty() const { return sessions_.empty(); }
+
+  // The other process of this dispatcher, during an upgrade. Each connection goes there once it is between
+  // two messages, with what has been read of the next; `used`: it has brought one before.
+  using PassOn = std::function<void(transport::Descriptor connection, std::string unread, bool used)>;
+  void pass_on(PassOn pass);  // null: no more
+  bool passing() const { return pass_ != nullptr; }
+  void adopt(transport::SlotRef connection, std::string_view unread, bool used);  // one that came from there
+  // A call-back for a job that is not known here; false: there is nobody to ask. `told` comes later, with
+  // false where the other one is gone.
+  using Forward = std::function<bool(std::string_view body, std::function<void(bool taken)> told)>;
+  void forward_news(Forward forward) { forward_ = std::move(forward); }
   void cut_streams();  // the time is over: replies that are on their way end here
 
+  void hear(protocol::News news);  // a call-back, wherever it came
   void on_accepted(transport::SlotRef connection) override;
   void on_bytes(transport::SlotRef connection, std::string_view bytes) override;
   void on_closed(transport::SlotRef connection, bool all_written) override;
@@ -53,11 +65,13 @@
     std::optional<routing::CommandRef> command;  // one at a time; what follows it waits in the parser
     std::unique_ptr<Transfer> transfer;
     bool keep_alive = true, held = false, old = false;  // old: HTTP/1.0
+    bool asks = false;                                  // a call-back of its own waits for the other process
     std::uint64_t place = 0;                            // in fresh_ or idle_; 0: in neither
     transport::Deadlines::Handle slow, more;  // a message that does not come whole; one that waits its turn
   };
   using Order = std::map<std::uint64_t, transport::SlotRef>;  // longest there first
 
+  Session& begin(transport::SlotRef connection);
   void work(transport::SlotRef connection);
   void handle(transport::SlotRef connection, protocol::Message message);
   void take_command(transport::SlotRef connection, protocol::Message message);
@@ -88,6 +102,7 @@
   bool shed_one(const Order& from, bool silent_only);
   void finish_all(Order from);
   void forget(transport::SlotRef connection);
+  bool try_pass(transport::SlotRef connection);
 
   Platform on_;
   std::optional<Streaming> on_streams_;
@@ -98,6 +113,8 @@
   Order fresh_;                                                // have not brought a whole request yet
   Order idle_;                                                 // have, and are between two
   std::uint64_t order_ = 0;
+  PassOn pass_;
+  Forward forward_;
 };
 
 }  // namespace oatledge::program
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -12,11 +12,14 @@
 #include "../transport/loop.h"
 #include "app.h"
 #include "ops_front.h"
+#include "upgrade.h"
 
 namespace {
 
 using namespace oatledge;
 
+constexpr const char* kLocal = "/oatledge.sock";  // in $TMPDIR, which both processes of an upgrade share
+
 std::string environment(const char* variable) {
   const char* value = std::getenv(variable);
   return value ? value : "";
@@ -50,7 +53,7 @@
 void run(const features::Features& features, bool trace) {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // one that comes before there is anything to reload must not end the program
-  const transport::Duration to_steady = wall_to_steady();
+  transport::Duration to_steady = wall_to_steady();
   auto read = [&](program::Occasion occasion, const Json::Value& in_force = {}) {
     return program::read_config(read_file(environment("ROUTER_CONFIG")), environment, to_steady, occasion,
                                 in_force);
@@ -60,6 +63,22 @@
   transport::Deadlines deadlines;
   transport::Loop loop(deadlines, clock);
   program::Log log(clock);
+  // Only who has an operators' address can be asked whether it has taken over.
+  std::string folder = environment("TMPDIR"),
+              local = config.ops.empty() || folder.empty() ? "" : folder + kLocal;
+  const handover::Who self{config.name, config.listen};
+  std::optional<program::Upgrade::Found> found;
+  if (!local.empty()) try {
+      found = program::Upgrade::ask(local, self, log);
+    } catch (const std::runtime_error& e) {
+      log.line("upgrade", std::string("no other process can take over: ") + e.what());
+      local.clear();
+    }
+  if (found && found->welcome) {
+    to_steady = transport::Duration(found->welcome->wall_to_steady());
+    config = read(program::Occasion::Start);
+    config.known = program::Upgrade::list_of(*found->welcome, config.words);
+  }
   program::Shares shares = program::share_descriptors(config);
   auto complain = [&log](const std::string& text) { log.line("sockets", text); };
   // Before the other one, so that GLib serves its sockets first in each turn.
@@ -99,7 +118,16 @@
     operators->listen(config.ops, *ops);
   }
   app.start();
-  network.listen(config.listen, app.acceptor());
+  std::optional<program::Upgrade> upgrade;
+  if (local.empty()) {
+    network.listen(config.listen, app.acceptor());
+  } else {
+    upgrade.emplace(loop.context(),
+                    program::Upgrade::Options{local, self, shares, to_steady, config.settings.fall_span,
+                                              config.settings.ramp_time},
+                    app, network, deadlines, clock, log);
+    upgrade->start(std::move(found));
+  }
   while (!app.finished()) loop.turn();
   log.line("stop", "ended");
 }
--- /dev/null
+++ b/src/program/upgrade.h
@@ -0,0 +1,90 @@
+// The other process of this dispatcher during an upgrade: the one that was here before, or the one that comes
+// after. Who takes new jobs is decided by handover::Elder and handover::Heir; this carries it out over local
+// sockets.
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "../handover/succession.h"
+#include "../transport/gio_network.h"
+#include "../transport/local_link.h"
+#include "app.h"
+#include "handover.pb.h"
+
+namespace oatledge::program {
+
+class Upgrade {
+ public:
+  struct Found {  // a process that was here before
+    transport::ObjectPtr<GSocket> socket;
+    std::optional<handover::Welcome> welcome;  // none: it has not said a word yet, or turned us away
+    bool refused = false;
+    transport::Descriptor listener;
+  };
+  // Before there is a loop; nothing: nobody listens at the path. Waits a second at most.
+  static std::optional<Found> ask(const std::string& path, const handover::Who& self, Log& log);
+  static protocol::NameList list_of(const handover::Welcome& welcome, const protocol::Vocabulary& words);
+
+  struct Options {
+    std::string path;
+    handover::Who self;
+    Shares shares;
+    transport::Duration wall_to_steady{0};
+    transport::Duration fall_span{0}, ramp{0};  // of cold instances
+  };
+  Upgrade(GMainContext* context, Options options, App& app, transport::GioNetwork& network,
+          transport::Deadlines& deadlines, const transport::Clock& clock, Log& log);
+
+  // With the one that was found, or alone. Throws std::runtime_error where the clients' address cannot be
+  // had.
+  void start(std::optional<Found> found);
+
+ private:
+  struct Waiting {  // a call-back that others were asked about
+    int answers = 0;
+    std::function<void(bool)> told;
+  };
+  using Link = std::unique_ptr<transport::LocalLink>;
+
+  void serve();
+  void be_found();
+  void ask_again();
+  void link_old(transport::ObjectPtr<GSocket> socket);
+  void came(transport::ObjectPtr<GSocket> socket);
+  void from_old(transport::Packet packet);
+  void from_new(transport::Packet packet);
+  void common(Link& from, const handover::Message& message);
+  void act(handover::Heir::Do what);
+  void act(handover::Elder::Do what);
+  void take_yours(const handover::Yours& yours);
+  void take_connection(const handover::Connection& connection, transport::Packet packet);
+  void yield();
+  void take_back();
+  void inherit(const google::protobuf::RepeatedPtrField<handover::ByHand>& by_hand);
+  void old_is_gone();
+  void welcome();
+  bool forward(std::string_view body, std::function<void(bool)> told);
+  void answered(std::uint64_t number, bool taken);
+  void tell(Link& link, const handover::Message& message,
+            std::vector<transport::Descriptor> descriptors = {});
+  void tell_all(const handover::Message& message, const Link* but = nullptr);
+
+  GMainContext* context_;
+  Options options_;
+  App& app_;
+  transport::GioNetwork& network_;
+  transport::Deadlines& deadlines_;
+  const transport::Clock& clock_;
+  Log& log_;
+  handover::Heir heir_;
+  handover::Elder elder_;
+  Link old_, new_;
+  transport::Descriptor listener_;  // of the old one, until we take from it
+  std::unique_ptr<transport::LocalListener> found_here_;
+  std::map<std::uint64_t, Waiting> asked_;
+  std::uint64_t asked_last_ = 0;
+  std::size_t accepted_limit_ = 0;
+};
+
+}  // namespace oatledge::program
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -101,6 +101,14 @@
   return take();
 }
 
+std::optional<std::string> Parser::unread() const {
+  if (stage_ == Stage::Head) return buffer_;
+  if (kind_ != Kind::Request || streams_this_ || body_.framing() != Framing::Length || message_.has("Expect"))
+    return std::nullopt;
+  std::string text = message_.method + " " + message_.target + (message_.old ? " HTTP/1.0" : " HTTP/1.1");
+  return write_head(text, message_.headers) + message_.body + buffer_;
+}
+
 bool Parser::take_continue() { return std::exchange(expects_, false) && stage_ != Stage::Head; }
 
 BodyReader Parser::pass() { return std::exchange(body_, {}); }
--- a/src/protocol/http.h
+++ b/src/protocol/http.h
@@ -53,6 +53,9 @@
   std::optional<Message> next();    // a whole message, if there is one; throws HttpError
   std::optional<Message> at_end();  // the peer has closed: a response without a length ends here
   bool idle() const { return stage_ == Stage::Head && buffer_.empty(); }
+  // What has come of the next message, to be fed to another parser; nothing where it cannot be told any more
+  // (in the middle of chunks, of a body that passes through, or of one that waits for "100 Continue").
+  std::optional<std::string> unread() const;
   std::size_t buffered() const { return buffer_.size(); }
   bool take_continue();  // once for a head that says "Expect: 100-continue" and whose body is not here yet
   const BodyReader& passing() const { return body_; }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -64,13 +64,14 @@
 }
 
 Router::Taking Router::take(NewCommand n, const std::function<void(CommandRef)>& known) {
-  if (by_id_.contains(n.request.id)) return Taking::Duplicate;
+  if (by_id_.contains(n.request.id) || elsewhere_.contains(n.request.id)) return Taking::Duplicate;
   Command c;
   c.id = n.request.id, c.job_class = n.request.job_class, c.most_attempts = settings_.max_attempts,
   c.cargo = std::move(n.cargo), c.ends = clock_.now() + n.request.patience + n.request.transfer;
   std::optional<CommandRef> ref = table_.insert(std::move(c));
   if (!ref) return count_nack(n.request.job_class), Taking::Full;
   by_id_[n.request.id] = *ref;
+  if (tell_taken_) tell_taken_(n.request.id);
   ++open_;
   Command& kept = *table_.find(*ref);
   kept.deadline = deadlines_.add(kept.ends, [this, r = *ref] { time_up(r); });
@@ -160,6 +161,12 @@
   if (jobs == 0) at_.erase(instance);
 }
 
+std::vector<stagehinge::RequestId> Router::ids() const {
+  std::vector<stagehinge::RequestId> all;
+  for (const auto& [id, ref] : by_id_) all.push_back(id);
+  return all;
+}
+
 void Router::retune(const stagehinge::Settings& settings) {
   post([this, settings] {
     settings_ = settings;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "../operations/figures.h"
 #include "../transport/deadlines.h"
@@ -57,6 +58,12 @@
   void names_changed(stagehinge::ListKind kind, const std::vector<stagehinge::WorkerEntry>& entries);
   void peers_have(const std::string& instance, int jobs);
   void retune(const stagehinge::Settings& settings);  // for the commands to come
+  // The other process of this dispatcher, during an upgrade: what it has open, or had a moment ago, is as
+  // good as known here.
+  void elsewhere(const std::vector<stagehinge::RequestId>& ids) { elsewhere_.insert(ids.begin(), ids.end()); }
+  bool knows(stagehinge::RequestId id) const { return by_id_.contains(id); }
+  std::vector<stagehinge::RequestId> ids() const;  // open here, or a moment ago
+  void on_taken(std::function<void(stagehinge::RequestId)> tell) { tell_taken_ = std::move(tell); }
   void fail_all();  // the program must end: what is still open gets its answer now
 
   void talk_to(PeerSide& peers) { ports_.peers = &peers; }  // before start()
@@ -115,7 +122,9 @@
   Log log_, trace_;
   transport::SlotTable<Command> table_;
   std::unordered_map<stagehinge::RequestId, CommandRef> by_id_;  // also of commands that ended a moment ago
-  std::deque<stagehinge::RequestId> ended_;                      // the ids of those, the longest ended first
+  std::unordered_set<stagehinge::RequestId> elsewhere_;
+  std::function<void(stagehinge::RequestId)> tell_taken_;
+  std::deque<stagehinge::RequestId> ended_;  // the ids of those, the longest ended first
   std::optional<stagehinge::Dispatcher> dispatcher_;
   std::deque<std::function<void()>> events_;
   bool running_ = false;
--- a/src/transport/gio_network.cpp
+++ b/src/transport/gio_network.cpp
@@ -71,16 +71,44 @@
   listener_ = new_socket(where.get(), error);
   if (!listener_) throw std::runtime_error(std::string("no socket: ") + error.text());
   g_socket_set_listen_backlog(listener_.get(), kBacklog);
+  // So that a second process of this dispatcher can serve beside this one where the socket itself cannot be
+  // passed.
+  g_socket_set_option(listener_.get(), SOL_SOCKET, SO_REUSEPORT, 1, nullptr);
   if (!g_socket_bind(listener_.get(), where.get(), TRUE, error.out()) ||
       !g_socket_listen(listener_.get(), error.out()))
     throw std::runtime_error("cannot listen on " + address + ": " + error.text());
   acceptor_ = &acceptor;
-  resume_accepting();
+  accept_from_now_on(true);
+}
+
+void GioNetwork::share_listener(Descriptor listening, Acceptor& acceptor) {
+  Error error;
+  listener_.reset(g_socket_new_from_fd(listening.get(), error.out()));
+  if (!listener_) throw std::runtime_error(std::string("not a socket to listen on: ") + error.text());
+  listening.release();
+  g_socket_set_blocking(listener_.get(), FALSE);
+  acceptor_ = &acceptor;
+}
+
+Descriptor GioNetwork::listener() const {
+  return listener_ ? Descriptor::copy_of(g_socket_get_fd(listener_.get())) : Descriptor();
+}
+
+void GioNetwork::accept_from_now_on(bool on) {
+  takes_ = on;
+  if (on) return resume_accepting();
+  deadlines_.drop(accept_again_);
+  accepts_.reset();
+}
+
+void GioNetwork::limit(Limits limits) {
+  limits_ = limits;
+  if (!accepts_) resume_accepting();
 }
 
 void GioNetwork::resume_accepting() {
   deadlines_.drop(accept_again_);
-  if (accepts_ || !listener_) return;
+  if (accepts_ || !listener_ || !takes_) return;
   accepts_.reset(g_socket_create_source(listener_.get(), G_IO_IN, nullptr));
   g_source_set_callback(accepts_.get(), G_SOURCE_FUNC(&GioNetwork::incoming), this, nullptr);
   g_source_attach(accepts_.get(), context_);
@@ -97,7 +125,7 @@
 }
 
 void GioNetwork::accept_all() {
-  for (int i = 0; i < kAcceptsATurn; ++i) {
+  for (int i = 0; i < kAcceptsATurn && takes_; ++i) {
     // Guards the descriptors kept for instances and discovery: a crowd of clients sheds its own idle ones
     // first, and where all are at work the next wait in the listen queue until one closes or is idle again.
     if (accepted_ >= limits_.accepted) {
@@ -116,15 +144,8 @@
       make_room();
       return pause_accepting();
     }
-    g_socket_set_blocking(socket.get(), FALSE);
-    no_delay(socket.get());
-    Connection c;
-    c.socket = std::move(socket), c.handler = acceptor_, c.accepted = true;
-    std::optional<SlotRef> ref = table_.insert(std::move(c));
+    std::optional<SlotRef> ref = keep_accepted(std::move(socket));
     if (!ref) return pause_accepting();
-    ++accepted_;
-    Connection& kept = *table_.find(*ref);
-    watch(*ref, kept);
     acceptor_->on_accepted(*ref);
     // A service client sends as soon as it has connected: its command is read before the next newcomer could
     // take this connection for a silent one and have it closed.
@@ -132,6 +153,37 @@
   }
 }
 
+std::optional<SlotRef> GioNetwork::keep_accepted(ObjectPtr<GSocket> socket) {
+  g_socket_set_blocking(socket.get(), FALSE);
+  no_delay(socket.get());
+  Connection c;
+  c.socket = std::move(socket), c.handler = acceptor_, c.accepted = true;
+  std::optional<SlotRef> ref = table_.insert(std::move(c));
+  if (!ref) return std::nullopt;
+  ++accepted_;
+  watch(*ref, *table_.find(*ref));
+  return ref;
+}
+
+std::optional<SlotRef> GioNetwork::adopt(Descriptor connection) {
+  Error error;
+  ObjectPtr<GSocket> socket(g_socket_new_from_fd(connection.get(), error.out()));
+  if (!socket) return std::nullopt;
+  connection.release();
+  return keep_accepted(std::move(socket));
+}
+
+Descriptor GioNetwork::release(SlotRef ref) {
+  Connection* c = table_.find(ref);
+  if (!c || c->state != State::Open || c->broken || !c->unsent.empty()) return {};
+  Descriptor copy = Descriptor::copy_of(g_socket_get_fd(c->socket.get()));
+  if (!copy) return {};
+  c->broken = true;  // the kernel watches what a descriptor stands for, and that stays open
+  watch(ref, *c);
+  remove(ref);
+  return copy;
+}
+
 // Those that have their last answer go first, then what the acceptor can spare.
 bool GioNetwork::make_room() {
   auto done = std::ranges::find_if(
--- a/src/transport/gio_network.h
+++ b/src/transport/gio_network.h
@@ -28,6 +28,13 @@
   ~GioNetwork() override;
 
   void listen(const std::string& address, Acceptor& acceptor);  // throws std::runtime_error
+  // The same on a socket that another process listens on too, from accept_from_now_on(true).
+  void share_listener(Descriptor listening, Acceptor& acceptor);
+  Descriptor listener() const;  // of the listening socket, for another process
+  void accept_from_now_on(bool on);
+  void limit(Limits limits);  // no more than the table was made for
+  std::size_t accepted() const { return accepted_; }
+  std::optional<SlotRef> adopt(Descriptor connection);  // an accepted one; nothing: no place is left
   std::optional<SlotRef> connect(const std::string& address, ConnectionHandler& handler,
                                  Urgency urgency) override;
   void send(SlotRef connection, std::string bytes) override;
@@ -41,6 +48,7 @@
   void grant(SlotRef connection, std::size_t bytes) override;
   void bulk(SlotRef connection, bool on) override;
   void again(SlotRef connection) override;
+  Descriptor release(SlotRef connection) override;
   bool
   serve_bulk();  // once a turn, after the sockets: bulk connections that are ready, in turn; true: some wait
 
@@ -68,6 +76,7 @@
   void serve(SlotRef ref, std::uint32_t events);
   void watch(SlotRef ref, Connection& c);  // after whatever may have changed what it waits for
   void accept_all();
+  std::optional<SlotRef> keep_accepted(ObjectPtr<GSocket> socket);
   bool make_room();
   void pause_accepting();
   void resume_accepting();
@@ -97,6 +106,7 @@
   SourcePtr polled_;  // and it is one source of the loop
   std::vector<epoll_event> ready_;
   Acceptor* acceptor_ = nullptr;
+  bool takes_ = false;  // new connections
   Deadlines::Handle accept_again_;
 };
 
--- a/src/transport/network.h
+++ b/src/transport/network.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "buffer.h"
+#include "descriptor.h"
 #include "slots.h"
 
 namespace oatledge::transport {
@@ -53,6 +54,9 @@
   // A bulk connection carries a long body: its sender watches unsent() itself, so there is no limit to what
   // waits, and it is served after the others, all of them together a bounded number of bytes a turn.
   virtual void bulk(SlotRef connection, bool on) = 0;
+  // Takes it out of the table, alive and with what the peer has sent, for another process to go on with.
+  // Nothing where bytes still wait to be written.
+  virtual Descriptor release(SlotRef connection) = 0;
   // on_written() comes in the turn of this bulk connection: its sender has more, but has had its share for
   // now.
   virtual void again(SlotRef connection) = 0;
--- /dev/null
+++ b/tests/net/handover_test.cpp
@@ -0,0 +1,316 @@
+// Upgrades. First who takes new jobs, over every order of what can happen to the two processes and their
+// link; then the program as two processes, between stand-ins on real sockets, with verdicts by order and
+// count.
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <deque>
+#include <filesystem>
+#include <fstream>
+#include <set>
+
+#include "../../lab/standins.h"
+#include "../../src/handover/succession.h"
+
+using namespace oatledge;
+using handover::Elder;
+using handover::Heir;
+
+namespace {
+
+// The two sides and the link between them, as the program joins them. `accepting` is what a side does with
+// the listening socket.
+struct World {
+  enum class Said { Hello, Welcome, Refusal, Ready, Yours, News, Garbage };
+  Elder elder{{"n0", "a:1"}};
+  Heir heir;
+  std::deque<Said> to_elder, to_heir;
+  bool linked = false, elder_lives = true, heir_lives = true;
+  bool elder_accepts = true, heir_accepts = false, heir_waits = true;  // waits: to ask (again)
+  bool elder_heard_end = true, heir_heard_end = true;
+
+  void cut() {  // by whichever side; each hears of it in its own time, after what was on its way
+    linked = false;
+    if (elder_lives) elder_heard_end = false;
+    if (heir_lives) heir_heard_end = false;
+  }
+  void act(Elder::Do what) {
+    switch (what) {
+      case Elder::Do::Nothing: return;
+      case Elder::Do::Welcome: return say(to_heir, Said::Welcome);
+      case Elder::Do::Refuse: return say(to_heir, Said::Refusal);
+      case Elder::Do::Yield: elder_accepts = false; return say(to_heir, Said::Yours);
+      case Elder::Do::TakeBack: elder_accepts = true; return;
+      case Elder::Do::HangUp: cut(), elder_heard_end = true, to_elder.clear(); return;
+    }
+  }
+  void act(Heir::Do what) {
+    switch (what) {
+      case Heir::Do::Nothing: return;
+      case Heir::Do::SayReady: return say(to_elder, Said::Ready);
+      case Heir::Do::Serve:
+      case Heir::Do::ServeAlone: heir_accepts = true; return;
+      case Heir::Do::HangUp: cut(), heir_heard_end = true, to_heir.clear(); return act(heir.ended());
+      case Heir::Do::AskAgain: heir_waits = true; return;
+    }
+  }
+  void say(std::deque<Said>& to, Said what) {
+    if (linked) to.push_back(what);
+  }
+  // What can happen next; false: that cannot happen now.
+  bool step(int what) {
+    switch (what) {
+      case 0:  // the heir asks
+        if (!heir_lives || !heir_waits) return false;
+        heir_waits = false;
+        if (!elder_lives) return act(heir.nobody()), true;
+        if (!elder.free() || !elder_heard_end) return heir_waits = true, false;  // hung up on; it asks again
+        linked = true, to_elder.clear(), to_heir.clear();
+        say(to_elder, Said::Hello);
+        return true;
+      case 1: {  // the elder hears something
+        if (!elder_lives || to_elder.empty()) return false;
+        Said s = to_elder.front();
+        to_elder.pop_front();
+        if (s == Said::Hello) act(elder.hello(handover::kVersion, {"n0", "a:1"}));
+        else if (s == Said::Ready) act(elder.ready());
+        else if (s == Said::Garbage) act(elder.nonsense());
+        return true;
+      }
+      case 2: {  // the heir hears something
+        if (!heir_lives || to_heir.empty()) return false;
+        Said s = to_heir.front();
+        to_heir.pop_front();
+        if (s == Said::Welcome) act(heir.welcome());
+        else if (s == Said::Yours) act(heir.yours());
+        else if (s == Said::Garbage) act(heir.nonsense());
+        return true;
+      }
+      case 3: return heir_lives && !kill(heir_lives, heir_accepts);
+      case 4: return elder_lives && !kill(elder_lives, elder_accepts);
+      case 5:  // the end of the link is heard, after all that came before it
+        if (!elder_lives || elder_heard_end || !to_elder.empty()) return false;
+        return elder_heard_end = true, act(elder.ended()), true;
+      case 6:
+        if (!heir_lives || heir_heard_end || !to_heir.empty()) return false;
+        return heir_heard_end = true, act(heir.ended()), true;
+      case 7: return garble(to_elder);
+      case 8: return garble(to_heir);
+      case 9:  // what the two talk about once the heir serves
+        if (!linked || heir.state() != Heir::State::Serving || !to_elder.empty()) return false;
+        return say(to_elder, Said::News), true;
+      default:
+        if (!linked || elder.state() != Elder::State::Yielded || to_heir.size() > 1) return false;
+        return say(to_heir, Said::News), true;
+    }
+  }
+  bool kill(bool& lives, bool& accepts) {
+    lives = accepts = false;
+    if (linked) cut();
+    return false;
+  }
+  bool garble(std::deque<Said>& queue) {
+    if (queue.empty() || queue.front() == Said::Garbage) return false;
+    queue.front() = Said::Garbage;
+    return true;
+  }
+};
+
+}  // namespace
+
+// Depth first over all that can happen, with each side dying and each message garbled at every point.
+TEST_CASE("at no moment do both processes take new jobs, and in the end one that lives does") {
+  long worlds = 0;
+  std::function<void(const World&, int, int)> go = [&](const World& w, int depth, int troubles) {
+    ++worlds;
+    REQUIRE_FALSE((w.elder_accepts && w.heir_accepts));
+    // Left alone from here, whoever lives takes jobs.
+    World rest = w;
+    for (int i = 0; i < 100; ++i)
+      for (int what : {5, 6, 1, 2, 0}) rest.step(what);
+    if (rest.elder_lives || rest.heir_lives) REQUIRE((rest.elder_accepts != rest.heir_accepts));
+    if (w.elder_lives && w.heir_lives && troubles == 0) REQUIRE(rest.heir_accepts);
+    if (depth == 0) return;
+    for (int what = 0; what <= 10; ++what) {
+      bool trouble = what == 3 || what == 4 || what == 7 || what == 8;
+      if (trouble && troubles == 3) continue;
+      World next = w;
+      if (next.step(what)) go(next, depth - 1, troubles + trouble);
+    }
+  };
+  go(World(), 11, 0);
+  CHECK(worlds > 1000);
+}
+
+TEST_CASE("another version and another dispatcher are turned away") {
+  Elder elder({"n0", "a:1"});
+  CHECK(elder.hello(handover::kVersion + 1, {"n0", "a:1"}) == Elder::Do::Refuse);
+  CHECK(elder.hello(handover::kVersion, {"n1", "a:1"}) == Elder::Do::Refuse);
+  CHECK(elder.hello(handover::kVersion, {"n0", "a:2"}) == Elder::Do::Refuse);
+  CHECK(elder.free());
+  Heir heir;
+  CHECK(heir.refused() == Heir::Do::ServeAlone);
+}
+
+// ---- As processes ----
+
+namespace {
+
+using namespace oatledge::lab;
+
+std::string environment(const char* name) {
+  const char* value = std::getenv(name);
+  REQUIRE(value);
+  return value;
+}
+
+struct Scene {
+  Fleet fleet{own_host(), 3};
+  Dispatcher dispatcher{{environment("OATLEDGE"), environment("OATLEDGE_CONFIG"), "", own_host(), 1024, true},
+                        fleet};
+  std::atomic<std::uint64_t> ids{1};
+
+  Order order(const std::string& query = "news=1&work=3") {
+    Order o;
+    o.id = ids++, o.query = query, o.upload = 100, o.time_left_ms = 5000;
+    return o;
+  }
+  std::map<std::string, int> begun() {
+    std::map<std::string, int> counts;
+    for (const Seen& s : fleet.seen()) counts[s.id] += s.begun;
+    return counts;
+  }
+  template <class Done>
+  void until(Done done) {  // a test that hangs here is ended by the test runner
+    while (!done()) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  Call stats(const std::string& operators) { return call(operators, "GET", "/admin/stats"); }
+  bool logged(const std::string& text) { return dispatcher.log().find(text) != std::string::npos; }
+};
+
+const std::string kServed = "dispatcher.operations.place-order.fulfilled", kRelayed = "dispatcher.relayed";
+
+}  // namespace
+
+TEST_CASE(
+    "three upgrades under orders: each gets one answer, none begins twice, no connection ends, figures add "
+    "up") {
+  Scene s;
+  std::atomic<bool> over{false};
+  std::atomic<int> served{0}, other{0};
+  std::vector<std::thread> clients;
+  for (int i = 0; i < 8; ++i)
+    clients.emplace_back([&, i] {
+      Regular client(s.dispatcher.address());
+      for (int n = 0; !over; ++n) {
+        Order o = s.order("news=1&work=" + std::to_string(1 + (n * 7 + i * 13) % 40));
+        Answer a = i < 6 ? client.hand_in(o) : hand_in(s.dispatcher.address(), o);
+        ++(a.status == 200 && a.whole && a.body == pattern_sha(0, 100) ? served : other);
+      }
+    });
+  long fulfilled = 0, relayed = 0;
+  auto keep = [&](const std::string& operators) {
+    Call last;
+    s.until([&] { return (last = s.stats(operators)).figure("dispatcher.open_requests") == 0; });
+    fulfilled += last.figure(kServed), relayed += last.figure(kRelayed);
+  };
+  for (int round = 0; round < 3; ++round) {
+    int before = served;
+    s.until([&] { return served > before + 100; });
+    REQUIRE(s.dispatcher.start_beside());
+    before = served;
+    s.until([&] { return served > before + 50; });
+    keep(s.dispatcher.old_operators());
+    CHECK(s.dispatcher.end_old() == 0);
+  }
+  over = true;
+  for (std::thread& t : clients) t.join();
+  keep(s.dispatcher.operators());
+  CHECK(other == 0);
+  CHECK(fulfilled == served);
+  auto begun = s.begun();
+  CHECK(begun.size() == static_cast<std::size_t>(served));
+  CHECK(relayed == served);
+  for (const auto& [id, n] : begun) CHECK(n == 1);
+}
+
+TEST_CASE("what is half sent goes along, and a job's call-back finds its process") {
+  Scene s;
+  Regular half(s.dispatcher.address()), silent(s.dispatcher.address()), busy(s.dispatcher.address());
+  CHECK(half.hand_in(s.order()).status == 200);
+  half.begin("POST /api?news=1 HTTP/1.1\r\nX-Correlation-Id: 00000000000f0001\r\nX-Service-Cl");
+  // Its job begins at the old process and ends after the change; the order worker calls the address that both
+  // share.
+  std::thread slow([&] { CHECK(busy.hand_in(s.order("news=1&work=1500")).status == 200); });
+  s.until([&] { return s.stats(s.dispatcher.operators()).figure("dispatcher.open_requests") == 1; });
+  REQUIRE(s.dispatcher.start_beside());
+  CHECK(s.stats(s.dispatcher.operators()).figure("dispatcher.open_requests") == 0);
+  half.begin(
+      "ass: place-order\r\nX-Account: lanting-bento\r\nX-Time-Left-Ms: 5000\r\nContent-Length: 4\r\n\r\nhe");
+  half.begin("lf");
+  s.until([&] { return s.begun().contains("00000000000f0001"); });
+  CHECK(silent.hand_in(s.order()).status == 200);
+  CHECK(s.dispatcher.end_old() == 0);
+  slow.join();
+  CHECK(busy.hand_in(s.order()).status == 200);
+}
+
+TEST_CASE("an order worker that is out by hand stays out over an upgrade") {
+  Scene s;
+  CHECK(call(s.dispatcher.operators(), "POST", "/admin/cordon?id=s-1").status == 200);
+  REQUIRE(s.dispatcher.start_beside());
+  for (int i = 0; i < 30; ++i) CHECK(hand_in(s.dispatcher.address(), s.order()).status == 200);
+  for (const Seen& seen : s.fleet.seen()) CHECK(seen.uid != "s-1");
+  // A call at either address counts at both.
+  CHECK(call(s.dispatcher.operators(), "POST", "/admin/cordon?id=s-2").status == 200);
+  s.until([&] { return s.stats(s.dispatcher.old_operators()).figure("dispatcher.out_of_rotation") == 2; });
+  CHECK(call(s.dispatcher.old_operators(), "POST", "/admin/uncordon?id=s-1").status == 200);
+  s.until([&] { return s.stats(s.dispatcher.operators()).figure("dispatcher.out_of_rotation") == 1; });
+  CHECK(s.dispatcher.end_old() == 0);
+  CHECK(s.stats(s.dispatcher.operators()).figure("dispatcher.out_of_rotation") == 1);
+}
+
+TEST_CASE("the one that lives serves on") {
+  Scene s;
+  auto serves = [&] { return hand_in(s.dispatcher.address(), s.order()).status == 200; };
+  SECTION("the new one dies after taking over") {
+    REQUIRE(s.dispatcher.start_beside());
+    s.dispatcher.kill_now();
+    s.until([&] { return s.logged("takes connections again"); });
+    CHECK(serves());
+    REQUIRE(s.dispatcher.start_beside());  // and a further one finds it
+    CHECK(s.dispatcher.end_old() == 0);
+  }
+  SECTION("the new one's configuration is broken") {
+    std::string path = s.dispatcher.folder() + "/config.json", text;
+    std::getline(std::ifstream(path), text, '\0');
+    std::ofstream(path) << "{";
+    CHECK_FALSE(s.dispatcher.start_beside());
+    std::ofstream(path) << text;
+    REQUIRE(s.dispatcher.start_beside());
+    CHECK(s.dispatcher.end_old() == 0);
+  }
+  SECTION("it was killed outright, and its socket lies there") { s.dispatcher.kill_now(); }
+  SECTION("a second upgrade before the first has ended") {
+    Regular client(s.dispatcher.address());
+    REQUIRE(s.dispatcher.start_beside());
+    CHECK(client.hand_in(s.order()).status == 200);
+    CHECK(s.dispatcher.end_old() == 0);
+    REQUIRE(s.dispatcher.start_beside());
+    CHECK(client.hand_in(s.order()).status == 200);
+    CHECK(s.dispatcher.end_old() == 0);
+    CHECK(client.hand_in(s.order()).status == 200);
+  }
+  SECTION("a file stands where the socket should") {
+    std::string path = s.dispatcher.folder() + "/tmp/oatledge.sock";
+    std::filesystem::remove(path);
+    std::ofstream(path) << "mine";
+    s.dispatcher.kill_now();
+    CHECK(s.logged("and no socket"));
+    std::string text;
+    std::getline(std::ifstream(path), text);
+    CHECK(text == "mine");
+  }
+  CHECK(serves());
+  CHECK(s.dispatcher.end() == 0);
+}
--- a/tests/net/player.h
+++ b/tests/net/player.h
@@ -68,6 +68,7 @@
     if (spare >= 0 && !ends.at(ref).address.empty()) ++spare;
   }
   void reset(transport::SlotRef ref) override { close(ref); }
+  transport::Descriptor release(transport::SlotRef) override { return {}; }
   bool unread(transport::SlotRef ref) override { return ends.at(ref).unread; }
   void hold(transport::SlotRef ref, bool held) override { grant(ref, held ? 0 : SIZE_MAX); }
 
