Hand over jobs that outlive the old process, the UDP address and the retry budget

Change: what an order worker has taken goes over with its client's connection at the last call (Job, program/wards), and its call-back is the answer; what was never sent is refused there, which is true. Yours carries the UDP socket, and the old process is silent from then on. The free part of a retry budget waits for a window at the new process and is none at the old. bench/operations measures what the second address costs.

Test: a job of 5 s over an upgrade, answered on its connection by the next process; it fails without the change (502).

--- a/lab/standins.cpp
+++ b/lab/standins.cpp
@@ -416,6 +416,7 @@
     if (!q.contains("reply") && q["news"]) {
       keep();
       up = wire.send(plain(202, "", ""));
+      std::this_thread::sleep_for(std::chrono::milliseconds(q["late"]));
       int back = Wire::dial(dispatcher_);
       if (back >= 0) {
         Wire call(back);
--- a/lab/standins.h
+++ b/lab/standins.h
@@ -42,6 +42,7 @@
 //   core=N           serves it on that core, so that other stand-ins' work does not delay it
 //   nice=1           its threads step back behind those of other orders, at both ends
 //   news=1           answers 202 and calls back with the result
+//   late=MS          between the two
 //   only=N           does all this in its first N attempts at the order, any later one goes well
 using Query = std::map<std::string, std::uint64_t>;
 
--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -87,7 +87,8 @@
       names_({network, deadlines, clock, config_.words, log, figures_}, name_options(config_)),
       router_(config_.settings, share_descriptors(config_).commands, clock, deadlines,
               {front_, instances_, names_}, figures_,
-              [&log](const std::string& text) { log.line("module", text); }) {
+              [&log](const std::string& text) { log.line("module", text); }),
+      wards_(front_, instances_, {network, deadlines, clock, config_.words, log, figures_}) {
   front_.attach(router_);
   instances_.attach(router_);
   names_.attach([this](ListKind kind, const protocol::NameList& list) { names_changed(kind, list); });
@@ -103,6 +104,7 @@
   peers_ = &peers;
   peers.attach(router_);
   router_.talk_to(peers);
+  tell_peers();
 }
 
 // After the module has heard of them.
@@ -143,7 +145,7 @@
       std::ranges::count_if(roster_.listed(), [this](const auto& l) { return router_.avoids(l.first); });
   return operations::write_stats(
       figures_, config_.words.classes,
-      {router_.open_commands(), roster_.listed().size(), static_cast<std::size_t>(avoided)});
+      {router_.open_commands() + wards_.size(), roster_.listed().size(), static_cast<std::size_t>(avoided)});
 }
 
 void App::hear(const protocol::NameList& heard) {
@@ -179,8 +181,9 @@
   bool moved = next.discovery != config_.discovery;
   bool retuned = next.file["settings"] != config_.file["settings"];
   keep_numbers(config_, next);
-  if (retuned) router_.retune(next.settings);
-  config_.settings = std::move(next.settings), config_.words = std::move(next.words);
+  config_.settings = std::move(next.settings);
+  if (retuned) limit_budget(budget_);
+  config_.words = std::move(next.words);
   config_.conn_idle = next.conn_idle, config_.file = std::move(next.file);
   if (retuned) instances_.retime(instance_times(config_));
   ++figures_.cfg_accepted;
@@ -191,6 +194,14 @@
   if (moved) names_.move(next.discovery);
 }
 
+void App::limit_budget(Budget to) {
+  budget_ = to;
+  stagehinge::Settings s = config_.settings;
+  if (s.extra_window && to != Budget::Whole) s.budget_free = 0;
+  if (s.extra_window && to == Budget::None) s.extra_per_request = 0;
+  router_.retune(s);
+}
+
 void App::reload_failed(const std::string& why) {
   ++figures_.cfg_invalid;
   log_.line("reload", "the old configuration is kept: " + why);
@@ -214,6 +225,9 @@
   Duration since = clock_.now() - *terminated_;
   Duration time = std::min(longest, kLongestCounted) + kBeforeKill;
   bool last_call = since >= time;
+  if (last_call && give_away_)
+    for (routing::CommandRef ref : router_.open_refs()) give_away_(ref);
+  if (last_call) wards_.fail_all();
   if (last_call && router_.open_commands() > 0) {
     log_.line("stop", std::to_string(router_.open_commands()) + " commands fail: the time to end is over");
     router_.fail_all();
--- a/src/program/app.h
+++ b/src/program/app.h
@@ -8,6 +8,7 @@
 #include "http_instances.h"
 #include "http_names.h"
 #include "udp_peers.h"
+#include "wards.h"
 
 namespace oatledge::program {
 
@@ -39,6 +40,15 @@
   void serve(bool on) { serves_ = on; }  // false: another process still does, and this one's health is a no
   void hear(const protocol::NameList& heard);           // of the roster
   bool by_hand(const std::string& instance, bool out);  // false: unknown
+  // The retry budget over an upgrade, in each window of its own length: what the old process has used of it
+  // is not known to the new one, which may use its free part only after a window; the old one uses none any
+  // more.
+  enum class Budget { Whole, NoFree, None };
+  void limit_budget(Budget to);
+  Wards& wards() { return wards_; }
+  using GiveAway = std::function<void(routing::CommandRef)>;  // of what is open when the time to end is over
+  void on_last_call(GiveAway give) { give_away_ = std::move(give); }
+  UdpPeers* peers() { return peers_; }
   using TellByHand = std::function<void(const std::string& instance, bool out)>;
   void on_by_hand(TellByHand tell) { tell_by_hand_ = std::move(tell); }  // calls that were taken here
 
@@ -64,10 +74,13 @@
   HttpInstances instances_;
   HttpNames names_;
   routing::Router router_;
+  Wards wards_;
   UdpPeers* peers_ = nullptr;
   std::optional<transport::Time> terminated_;
   bool finished_ = false, serves_ = true;
   TellByHand tell_by_hand_;
+  GiveAway give_away_;
+  Budget budget_ = Budget::Whole;
 };
 
 }  // namespace oatledge::program
--- a/src/program/http_front.cpp
+++ b/src/program/http_front.cpp
@@ -162,6 +162,7 @@
   } catch (const protocol::Refused& e) {
     return reject(at, 400, std::string("call-back: ") + e.what());
   }
+  if (ward_news_ && ward_news_(n)) return respond(at, 204, {}, {});
   if (forward_ && !router_->knows(n.id) && forward_(m.body, [this, at](bool taken) {
         auto it = sessions_.find(at);
         if (it == sessions_.end()) return;
@@ -248,7 +249,9 @@
   auto it = sessions_.find(at);
   if (it == sessions_.end()) return;
   std::optional<routing::CommandRef> command = it->second.command;
+  std::function<void()> left = std::move(it->second.left);
   forget(at);
+  if (left) left();
   if (!command) return;
   waiting_.erase(*command);
   router_->client_gone(*command);
@@ -314,6 +317,34 @@
   return true;
 }
 
+std::optional<HttpFront::Parting> HttpFront::part_with(routing::CommandRef command) {
+  auto it = waiting_.find(command);
+  if (it == waiting_.end()) return std::nullopt;
+  SlotRef at = it->second;
+  Session& s = sessions_.at(at);
+  std::optional<std::string> unread = s.parser.unread();
+  if (s.transfer || !unread) return std::nullopt;
+  Parting p{on_.network.release(at), std::move(*unread), s.keep_alive, s.old};
+  if (!p.connection) return std::nullopt;
+  waiting_.erase(it);
+  forget(at);
+  return p;
+}
+
+void HttpFront::adopt_ward(SlotRef at, const Parting& as, std::function<void()> left) {
+  Session& s = begin(at);
+  s.keep_alive = as.keep_alive, s.old = as.old, s.asks = true, s.left = std::move(left);
+  s.parser.feed(as.unread);
+}
+
+void HttpFront::answer_ward(SlotRef at, int status, std::string_view body) {
+  auto it = sessions_.find(at);
+  if (it == sessions_.end()) return;
+  it->second.asks = false, it->second.left = nullptr;
+  respond(at, status, {}, body);
+  work(at);
+}
+
 void HttpFront::adopt(SlotRef at, std::string_view unread, bool used) {
   if (used) begin(at);
   else on_accepted(at);
--- a/src/program/http_front.h
+++ b/src/program/http_front.h
@@ -33,7 +33,20 @@
   using PassOn = std::function<void(transport::Descriptor connection, std::string unread, bool used)>;
   void pass_on(PassOn pass);  // null: no more
   bool passing() const { return pass_ != nullptr; }
+  // The connection of an open command, for another process to answer on. Nothing: it cannot be passed.
+  struct Parting {
+    transport::Descriptor connection;
+    std::string unread;
+    bool keep_alive = true, old = false;
+  };
+  std::optional<Parting> part_with(routing::CommandRef command);
   void adopt(transport::SlotRef connection, std::string_view unread, bool used);  // one that came from there
+  // The same while a command of it is open, which is answered by answer_ward(); `left`: the client went
+  // first.
+  void adopt_ward(transport::SlotRef connection, const Parting& as, std::function<void()> left);
+  void answer_ward(transport::SlotRef connection, int status, std::string_view body);
+  // Call-backs are offered here first; true: it was for a ward.
+  void on_ward_news(std::function<bool(const protocol::News&)> hear) { ward_news_ = std::move(hear); }
   // A call-back for a job that is not known here; false: there is nobody to ask. `told` comes later, with
   // false where the other one is gone.
   using Forward = std::function<bool(std::string_view body, std::function<void(bool taken)> told)>;
@@ -65,7 +78,8 @@
     std::optional<routing::CommandRef> command;  // one at a time; what follows it waits in the parser
     std::unique_ptr<Transfer> transfer;
     bool keep_alive = true, held = false, old = false;  // old: HTTP/1.0
-    bool asks = false;                                  // a call-back of its own waits for the other process
+    bool asks = false;                                  // waits for the other process, or for a ward's end
+    std::function<void()> left;                         // of a ward
     std::uint64_t place = 0;                            // in fresh_ or idle_; 0: in neither
     transport::Deadlines::Handle slow, more;  // a message that does not come whole; one that waits its turn
   };
@@ -115,6 +129,7 @@
   std::uint64_t order_ = 0;
   PassOn pass_;
   Forward forward_;
+  std::function<bool(const protocol::News&)> ward_news_;
 };
 
 }  // namespace oatledge::program
--- a/src/program/http_instances.cpp
+++ b/src/program/http_instances.cpp
@@ -84,11 +84,20 @@
     else on_.network.close(*a->connection);
     return;
   }
-  auto it = instances_.find(a->instance);
+  withdraw_job(a->instance, a->id);
+}
+
+void HttpInstances::withdraw_job(const std::string& instance, const std::string& id) {
+  auto it = instances_.find(instance);
   if (it == instances_.end()) return;
   Call c;
-  c.kind = Kind::Withdraw, c.instance = a->instance;
-  call(std::move(c), protocol::write_withdraw(a->id, it->second.address));
+  c.kind = Kind::Withdraw, c.instance = instance;
+  call(std::move(c), protocol::write_withdraw(id, it->second.address));
+}
+
+bool HttpInstances::taken(AttemptRef attempt) const {
+  auto it = active_.find(attempt);
+  return it != active_.end() && !it->second.connection;
 }
 
 void HttpInstances::settled(AttemptRef attempt) {
--- a/src/program/http_instances.h
+++ b/src/program/http_instances.h
@@ -29,6 +29,8 @@
   void withdraw(routing::AttemptRef attempt) override;
   void settled(routing::AttemptRef attempt) override;
   void probe(const std::string& instance) override;
+  bool taken(routing::AttemptRef attempt) const override;
+  void withdraw_job(const std::string& instance, const std::string& id);  // of an attempt that is not ours
 
   void on_connected(transport::SlotRef connection) override;
   void on_bytes(transport::SlotRef connection, std::string_view bytes) override;
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -104,14 +104,18 @@
   auto hangup = on_signal(SIGHUP, reload, loop.context());
   if (trace) app.trace();
   std::optional<program::UdpPeers> peers;
-  if (!config.peer_listen.empty()) try {
+  auto talk = [&](transport::Descriptor bound) {
+    if (config.peer_listen.empty() || peers) return;
+    try {
       peers.emplace(loop.context(),
                     program::UdpPeers::Options{config.peer_listen, config.peers, config.settings.index},
-                    deadlines, clock, log);
+                    deadlines, clock, log, std::move(bound));
       app.talk_to(*peers);
     } catch (const std::runtime_error& e) {
       log.line("peers", std::string("serves on without news of the others: ") + e.what());
     }
+  };
+  if (local.empty()) talk({});  // before the start: what it knows from the beginning is told
   std::optional<program::OpsFront> ops;
   if (operators) {
     ops.emplace(*operators, deadlines, clock, log, app);
@@ -123,8 +127,9 @@
     network.listen(config.listen, app.acceptor());
   } else {
     upgrade.emplace(loop.context(),
-                    program::Upgrade::Options{local, self, shares, to_steady, config.settings.fall_span,
-                                              config.settings.ramp_time},
+                    program::Upgrade::Options{
+                        local, self, shares, to_steady, config.settings.fall_span, config.settings.ramp_time,
+                        config.settings.extra_window.value_or(transport::Duration(0)), talk},
                     app, network, deadlines, clock, log);
     upgrade->start(std::move(found));
   }
--- a/src/program/udp_peers.cpp
+++ b/src/program/udp_peers.cpp
@@ -8,25 +8,34 @@
 }  // namespace
 
 UdpPeers::UdpPeers(GMainContext* context, Options options, transport::Deadlines& deadlines,
-                   const transport::Clock& clock, Log& log)
+                   const transport::Clock& clock, Log& log, transport::Descriptor bound)
     : options_(std::move(options)),
       deadlines_(deadlines),
       clock_(clock),
       log_(log),
       loads_(options_.self, static_cast<int>(options_.peers.size())),
-      socket_(context, options_.listen,
-              [this](const std::string& from, std::string_view bytes) { received(from, bytes); }) {
+      socket_(bound ? transport::Datagrams(context, std::move(bound), hears())
+                    : transport::Datagrams(context, options_.listen, hears())) {
   for (std::size_t i = 0; i < options_.peers.size(); ++i)
     if (static_cast<int>(i) != options_.self) senders_[options_.peers[i]] = i;
   sweep();
 }
 
+transport::Datagrams::Received UdpPeers::hears() {
+  return [this](const std::string& from, std::string_view bytes) { received(from, bytes); };
+}
+
+void UdpPeers::speak(bool on) {
+  speaks_ = on;
+  socket_.listen(on);
+}
+
 void UdpPeers::list(const std::vector<std::string>& instances) {
   loads_.list(instances, [this](const std::string& instance, int jobs) { heard(instance, jobs); });
 }
 
 void UdpPeers::have(const std::string& instance, int jobs) {
-  std::string message = loads_.tell(instance, jobs);
+  std::string message = speaks_ ? loads_.tell(instance, jobs) : std::string();
   if (message.empty()) return;
   for (int i : loads_.listeners(instance)) socket_.send(options_.peers[i], message);
 }
--- a/src/program/udp_peers.h
+++ b/src/program/udp_peers.h
@@ -18,17 +18,22 @@
     std::vector<std::string> peers;  // by the dispatchers' numbers, to send to and to hear from
     int self = 0;                    // our own number
   };
-  // Throws std::runtime_error where the address cannot be had.
+  // Throws std::runtime_error where the address cannot be had. `bound`: the socket, where another process of
+  // this dispatcher had it.
   UdpPeers(GMainContext* context, Options options, transport::Deadlines& deadlines,
-           const transport::Clock& clock, Log& log);
+           const transport::Clock& clock, Log& log, transport::Descriptor bound = {});
   ~UdpPeers() override { deadlines_.drop(sweep_); }
 
   void attach(routing::Router& router) { router_ = &router; }
   void list(
       const std::vector<std::string>& instances);  // on the own list; after the module has heard of them
   void have(const std::string& instance, int jobs) override;
+  // While another process of this dispatcher speaks for it, this one says and hears nothing.
+  void speak(bool on);
+  transport::Descriptor descriptor() const { return socket_.descriptor(); }
 
  private:
+  transport::Datagrams::Received hears();
   void received(const std::string& from, std::string_view bytes);
   void sweep();
   void heard(const std::string& instance, int jobs);
@@ -41,6 +46,7 @@
   gossip::Loads loads_;
   std::unordered_map<std::string, std::size_t> senders_;
   std::size_t dropped_ = 0;
+  bool speaks_ = true;
   transport::Datagrams socket_;
   transport::Deadlines::Handle sweep_;
 };
--- a/src/program/upgrade.cpp
+++ b/src/program/upgrade.cpp
@@ -141,7 +141,8 @@
       inherit(m.welcome().by_hand());
       return act(heir_.welcome());
     case Message::kRefusal: return act(heir_.refused());
-    case Message::kYours: return take_yours(m.yours());
+    case Message::kYours: return take_yours(m.yours(), std::move(packet));
+    case Message::kJob: return take_job(m.job(), std::move(packet));
     case Message::kConnection: return take_connection(m.connection(), std::move(packet));
     case Message::kTaken:
     case Message::kNews:
@@ -181,6 +182,7 @@
   if (!network_.listener()) network_.listen(options_.self.listen, app_.acceptor());
   network_.accept_from_now_on(true);
   app_.serve(true);
+  options_.talk(std::move(datagrams_));
   if (!old_ || !old_->up()) old_is_gone();
   be_found();
 }
@@ -196,14 +198,22 @@
 }
 
 // Guards cold instances: what the old process has sent there counts for one fall span, and is not known here.
-void Upgrade::take_yours(const handover::Yours& yours) {
+void Upgrade::take_yours(const handover::Yours& yours, Packet packet) {
+  if (!packet.descriptors.empty()) datagrams_ = std::move(packet.descriptors[0]);
   Heir::Do what = heir_.yours();
   if (what != Heir::Do::Serve) return act(what);
   app_.router().elsewhere({yours.ids().begin(), yours.ids().end()});
   inherit(yours.by_hand());
   app_.hear(app_.roster().hold_cold(clock_.now() - options_.ramp));
-  deadlines_.add(clock_.now() + options_.fall_span,
-                 [this] { app_.hear(app_.roster().hold_cold(std::nullopt)); });
+  if (options_.budget_window.count() > 0) {
+    app_.limit_budget(App::Budget::NoFree);
+    deadlines_.add(clock_.now() + options_.budget_window, [this] {
+      if (elder_.state() != Elder::State::Yielded) app_.limit_budget(App::Budget::Whole);
+    });
+  }
+  deadlines_.add(clock_.now() + options_.fall_span, [this] {
+    if (elder_.state() != Elder::State::Yielded) app_.hear(app_.roster().hold_cold(std::nullopt));
+  });
   std::size_t theirs = yours.accepted(), all = options_.shares.accepted;
   accepted_limit_ = std::max(kLeastAccepted, all - std::min(all, theirs));
   network_.limit({accepted_limit_, options_.shares.connected / 2});
@@ -219,6 +229,11 @@
     app_.front().adopt(*at, connection.unread(), connection.used());
 }
 
+void Upgrade::take_job(const handover::Job& job, Packet packet) {
+  if (packet.descriptors.size() != 1 || heir_.state() != Heir::State::Serving) return act(heir_.nonsense());
+  if (auto at = network_.adopt(std::move(packet.descriptors[0]))) app_.wards().take(job, *at);
+}
+
 void Upgrade::old_is_gone() {
   for (auto it = asked_.begin(); it != asked_.end();) answered((it++)->first, false);
   if (heir_.state() != Heir::State::Serving) return;
@@ -307,7 +322,11 @@
   for (stagehinge::RequestId id : app_.router().ids()) y.add_ids(id);
   y.set_accepted(static_cast<std::uint32_t>(network_.accepted()));
   put_by_hand(app_.roster(), *y.mutable_by_hand());
-  tell(new_, m);
+  std::vector<transport::Descriptor> datagrams;
+  if (app_.peers()) app_.peers()->speak(false), datagrams.push_back(app_.peers()->descriptor());
+  tell(new_, m, std::move(datagrams));
+  if (options_.budget_window.count() > 0) app_.limit_budget(App::Budget::None);
+  app_.on_last_call([this](routing::CommandRef ref) { give(ref); });
   app_.hear(app_.roster().hold_cold(clock_.now() - options_.ramp));
   log_.line("upgrade", "yields to the newcomer; " + std::to_string(app_.router().open_commands()) +
                            " commands are open here");
@@ -320,10 +339,32 @@
   });
 }
 
+// What an order worker has taken needs nobody who knows how it came there: the new process waits for its end.
+void Upgrade::give(routing::CommandRef ref) {
+  std::optional<routing::Router::Given> given = app_.router().look_at(ref);
+  if (!given || !new_ || !new_->up()) return;
+  std::optional<HttpFront::Parting> parting = app_.front().part_with(ref);
+  if (!parting) return;
+  app_.router().give_away(ref);
+  Message m;
+  handover::Job& job = *m.mutable_job();
+  job.set_id(given->id), job.set_name(app_.words().classes.at(given->job_class)),
+      job.set_ends(ms(given->ends));
+  for (const std::string& uid : given->instances) job.add_uids(uid);
+  job.mutable_connection()->set_unread(std::move(parting->unread));
+  job.set_keep_alive(parting->keep_alive), job.set_old(parting->old);
+  std::vector<transport::Descriptor> one;
+  one.push_back(std::move(parting->connection));
+  tell(new_, m, std::move(one));
+}
+
 void Upgrade::take_back() {
   log_.line("upgrade", "the newcomer is gone; takes connections again");
   for (auto it = asked_.begin(); it != asked_.end();) answered((it++)->first, false);
   app_.front().pass_on(nullptr);
+  app_.on_last_call(nullptr);
+  if (options_.budget_window.count() > 0) app_.limit_budget(App::Budget::Whole);
+  if (app_.peers()) app_.peers()->speak(true);
   app_.hear(app_.roster().hold_cold(std::nullopt));
   network_.limit({options_.shares.accepted, options_.shares.connected});
   network_.accept_from_now_on(true);
--- a/src/program/upgrade.h
+++ b/src/program/upgrade.h
@@ -32,6 +32,9 @@
     Shares shares;
     transport::Duration wall_to_steady{0};
     transport::Duration fall_span{0}, ramp{0};  // of cold instances
+    transport::Duration budget_window{0};       // of the retry budget; 0: there is none
+    // Speaks with the other dispatchers from now on; with the other process's socket, where it had one.
+    std::function<void(transport::Descriptor)> talk;
   };
   Upgrade(GMainContext* context, Options options, App& app, transport::GioNetwork& network,
           transport::Deadlines& deadlines, const transport::Clock& clock, Log& log);
@@ -57,7 +60,9 @@
   void common(Link& from, const handover::Message& message);
   void act(handover::Heir::Do what);
   void act(handover::Elder::Do what);
-  void take_yours(const handover::Yours& yours);
+  void take_yours(const handover::Yours& yours, transport::Packet packet);
+  void take_job(const handover::Job& job, transport::Packet packet);
+  void give(routing::CommandRef command);
   void take_connection(const handover::Connection& connection, transport::Packet packet);
   void yield();
   void take_back();
@@ -80,7 +85,8 @@
   handover::Heir heir_;
   handover::Elder elder_;
   Link old_, new_;
-  transport::Descriptor listener_;  // of the old one, until we take from it
+  transport::Descriptor listener_;   // of the old one, until we take from it
+  transport::Descriptor datagrams_;  // likewise
   std::unique_ptr<transport::LocalListener> found_here_;
   std::map<std::uint64_t, Waiting> asked_;
   std::uint64_t asked_last_ = 0;
--- /dev/null
+++ b/src/program/wards.cpp
@@ -0,0 +1,72 @@
+#include "wards.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace oatledge::program {
+
+using stagehinge::RequestId;
+
+namespace {
+
+constexpr transport::Duration kMargin{6};  // the answer goes out so long before its client gives up
+constexpr const char* kFailed = "failed; it may have run";
+
+}  // namespace
+
+Wards::Wards(HttpFront& front, HttpInstances& instances, Platform on)
+    : front_(front), instances_(instances), on_(on) {
+  front_.on_ward_news([this](const protocol::News& news) { return hear(news); });
+}
+
+void Wards::take(const handover::Job& job, transport::SlotRef at) {
+  RequestId id = job.id();
+  Ward& w = wards_[id];
+  w.connection = at;
+  auto it = std::ranges::find(on_.words.classes, job.name());
+  w.job_class = static_cast<std::size_t>(it - on_.words.classes.begin());
+  w.instances.assign(job.uids().begin(), job.uids().end());
+  w.ends = on_.deadlines.add(transport::Time(transport::Duration(job.ends())) - kMargin,
+                             [this, id] { answer(id, 502, kFailed); });
+  HttpFront::Parting as{{}, job.connection().unread(), job.keep_alive(), job.old()};
+  front_.adopt_ward(at, as, [this, id] { end(id); });
+}
+
+bool Wards::hear(const protocol::News& news) {
+  auto it = wards_.find(news.id);
+  if (it == wards_.end()) return false;
+  using What = protocol::News::What;
+  Ward& w = it->second;
+  if (news.what == What::Started || news.what == What::Progress) return true;
+  if (std::erase(w.instances, news.from) == 0) return true;  // an attempt that was given up before
+  if (news.what == What::Done) answer(news.id, 200, news.result);
+  else if (w.instances.empty()) answer(news.id, 502, kFailed);
+  return true;
+}
+
+void Wards::answer(RequestId id, int status, std::string_view body) {
+  Ward& w = wards_.at(id);
+  if (w.job_class < on_.words.classes.size()) {
+    operations::Ends& ends = on_.figures.of(w.job_class);
+    ++(status == 200 ? ends.fulfilled : ends.faulted);
+  }
+  transport::SlotRef at = w.connection;
+  end(id);
+  front_.answer_ward(at, status, body);
+}
+
+void Wards::end(RequestId id) {
+  auto it = wards_.find(id);
+  if (it == wards_.end()) return;
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(id));
+  for (const std::string& instance : it->second.instances) instances_.withdraw_job(instance, text);
+  on_.deadlines.drop(it->second.ends);
+  wards_.erase(it);
+}
+
+void Wards::fail_all() {
+  while (!wards_.empty()) answer(wards_.begin()->first, 502, kFailed);
+}
+
+}  // namespace oatledge::program
--- /dev/null
+++ b/src/program/wards.h
@@ -0,0 +1,38 @@
+// Jobs of the old process that outlive it: an order worker has them and will call back, and their clients
+// wait here. Nothing is left to decide of one: its result is the answer, and any other end is a failure.
+#pragma once
+
+#include <map>
+
+#include "handover.pb.h"
+#include "http_front.h"
+#include "http_instances.h"
+
+namespace oatledge::program {
+
+class Wards {
+ public:
+  Wards(HttpFront& front, HttpInstances& instances, Platform on);
+
+  void take(const handover::Job& job, transport::SlotRef connection);
+  std::size_t size() const { return wards_.size(); }
+  void fail_all();  // the program must end
+
+ private:
+  struct Ward {
+    transport::SlotRef connection;
+    std::size_t job_class = 0;
+    std::vector<std::string> instances;  // that have it
+    transport::Deadlines::Handle ends;
+  };
+  bool hear(const protocol::News& news);
+  void answer(stagehinge::RequestId id, int status, std::string_view body);
+  void end(stagehinge::RequestId id);  // and tell the instances that still have it
+
+  HttpFront& front_;
+  HttpInstances& instances_;
+  Platform on_;
+  std::map<stagehinge::RequestId, Ward> wards_;
+};
+
+}  // namespace oatledge::program
--- a/src/routing/ports.h
+++ b/src/routing/ports.h
@@ -62,6 +62,7 @@
   virtual void withdraw(AttemptRef attempt) = 0;  // tell the instance; nothing more is reported of it
   virtual void settled(AttemptRef attempt) = 0;   // it ended otherwise: forget it, tell nobody
   virtual void probe(const std::string& instance) = 0;
+  virtual bool taken(AttemptRef attempt) const = 0;  // the instance has said that it has it
 };
 
 class NameTableSide {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -167,6 +167,45 @@
   return all;
 }
 
+std::vector<CommandRef> Router::open_refs() const {
+  std::vector<CommandRef> open;
+  for (CommandRef ref : table_.refs())
+    if (!table_.find(ref)->answered) open.push_back(ref);
+  return open;
+}
+
+std::optional<Router::Given> Router::look_at(CommandRef ref) const {
+  const Command* c = table_.find(ref);
+  if (!c || c->answered || c->cargo->upload || c->cargo->reply) return std::nullopt;
+  Given g{c->id, c->job_class, c->ends, {}};
+  for (int i = 0; i < std::ssize(c->attempts); ++i) {
+    if (!c->attempts[i].open) continue;
+    if (!ports_.instances.taken({ref, i})) return std::nullopt;
+    g.instances.push_back(c->attempts[i].instance);
+  }
+  if (g.instances.empty()) return std::nullopt;
+  return g;
+}
+
+void Router::give_away(CommandRef ref) {
+  post([this, ref] {
+    Command* c = table_.find(ref);
+    if (!c || c->answered) return;
+    note("answered", c->id, -1, "given");
+    c->answered = true;
+    --open_;
+    for (int i = 0; i < std::ssize(c->attempts); ++i) {
+      if (!std::exchange(c->attempts[i].open, false)) continue;  // the module's cancels then reach nobody
+      ports_.instances.settled({ref, i});
+      count(c->attempts[i].instance, -1);
+    }
+    std::vector<Action> actions;
+    dispatcher_->on_client_gone(clock_.now(), c->id, actions);
+    act(actions);
+    if ((c = table_.find(ref))) close_answered(ref, *c);
+  });
+}
+
 void Router::retune(const stagehinge::Settings& settings) {
   post([this, settings] {
     settings_ = settings;
@@ -179,7 +218,8 @@
     for (CommandRef ref : table_.refs()) {
       Command* c = table_.find(ref);
       if (!c || c->answered) continue;
-      fail(ref, *c);
+      if (c->attempts.empty()) nack(ref, *c, Duration(0));  // it never left
+      else fail(ref, *c);
       drop_client(ref);
     }
   });
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -63,6 +63,17 @@
   void elsewhere(const std::vector<stagehinge::RequestId>& ids) { elsewhere_.insert(ids.begin(), ids.end()); }
   bool knows(stagehinge::RequestId id) const { return by_id_.contains(id); }
   std::vector<stagehinge::RequestId> ids() const;  // open here, or a moment ago
+  // A command that another process goes on with, to its answer: nobody is told anything of it here. What is
+  // to know of it, or nothing where that cannot be: it is over, or an attempt is not out, or not yet taken.
+  struct Given {
+    stagehinge::RequestId id = 0;
+    std::size_t job_class = 0;
+    transport::Time ends{};
+    std::vector<std::string> instances;
+  };
+  std::vector<CommandRef> open_refs() const;
+  std::optional<Given> look_at(CommandRef command) const;
+  void give_away(CommandRef command);
   void on_taken(std::function<void(stagehinge::RequestId)> tell) { tell_taken_ = std::move(tell); }
   void fail_all();  // the program must end: what is still open gets its answer now
 
@@ -120,7 +131,7 @@
   Ports ports_;
   operations::Figures& figures_;
   Log log_, trace_;
-  transport::SlotTable<Command> table_;
+  mutable transport::SlotTable<Command> table_;
   std::unordered_map<stagehinge::RequestId, CommandRef> by_id_;  // also of commands that ended a moment ago
   std::unordered_set<stagehinge::RequestId> elsewhere_;
   std::function<void(stagehinge::RequestId)> tell_taken_;
--- a/src/transport/datagrams.cpp
+++ b/src/transport/datagrams.cpp
@@ -13,7 +13,7 @@
 }  // namespace
 
 Datagrams::Datagrams(GMainContext* context, const std::string& address, Received received)
-    : received_(std::move(received)) {
+    : context_(context), received_(std::move(received)) {
   auto where = parse_address(address);
   if (!where) throw std::runtime_error("not an address: " + address);
   Error error;
@@ -22,11 +22,29 @@
   if (!socket_ || !g_socket_bind(socket_.get(), where.get(), FALSE, error.out()))
     throw std::runtime_error("cannot listen on " + address + ": " + error.text());
   g_socket_set_blocking(socket_.get(), FALSE);
+  listen(true);
+}
+
+Datagrams::Datagrams(GMainContext* context, Descriptor bound, Received received)
+    : context_(context), received_(std::move(received)) {
+  Error error;
+  socket_.reset(g_socket_new_from_fd(bound.get(), error.out()));
+  if (!socket_) throw std::runtime_error(std::string("not a socket: ") + error.text());
+  bound.release();
+  g_socket_set_blocking(socket_.get(), FALSE);
+  listen(true);
+}
+
+void Datagrams::listen(bool on) {
+  source_.reset();
+  if (!on) return;
   source_.reset(g_socket_create_source(socket_.get(), G_IO_IN, nullptr));
   g_source_set_callback(source_.get(), G_SOURCE_FUNC(&Datagrams::readable), this, nullptr);
-  g_source_attach(source_.get(), context);
+  g_source_attach(source_.get(), context_);
 }
 
+Descriptor Datagrams::descriptor() const { return Descriptor::copy_of(g_socket_get_fd(socket_.get())); }
+
 gboolean Datagrams::readable(GSocket*, GIOCondition, gpointer data) {
   static_cast<Datagrams*>(data)->read_some();
   return G_SOURCE_CONTINUE;
--- a/src/transport/datagrams.h
+++ b/src/transport/datagrams.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "descriptor.h"
 #include "glib.h"
 
 namespace oatledge::transport {
@@ -16,12 +17,17 @@
 
   // Throws std::runtime_error where the address cannot be had.
   Datagrams(GMainContext* context, const std::string& address, Received received);
+  // The same on a socket that another process had.
+  Datagrams(GMainContext* context, Descriptor bound, Received received);
   void send(const std::string& to, std::string_view bytes);
+  void listen(bool on);           // off: nothing is read, and what comes waits for whoever does
+  Descriptor descriptor() const;  // of the socket, for another process
 
  private:
   static gboolean readable(GSocket* socket, GIOCondition condition, gpointer data);
   void read_some();
 
+  GMainContext* context_;
   Received received_;
   ObjectPtr<GSocket> socket_;
   SourcePtr source_;
--- a/tests/net/handover_test.cpp
+++ b/tests/net/handover_test.cpp
@@ -255,6 +255,26 @@
   CHECK(busy.hand_in(s.order()).status == 200);
 }
 
+TEST_CASE("a job that outlives its process is answered by the next") {
+  Scene s;
+  Regular client(s.dispatcher.address());
+  Order order = s.order("news=1&late=5000");
+  order.time_left_ms = 20'000;
+  std::thread slow([&] {
+    Answer a = client.hand_in(order);
+    CHECK(a.status == 200);
+    CHECK(a.body == pattern_sha(0, 100));
+    CHECK(client.hand_in(s.order()).status == 200);  // on the same connection
+  });
+  s.until([&] { return s.begun().size() == 1; });
+  REQUIRE(s.dispatcher.start_beside());
+  CHECK(s.dispatcher.end_old() == 0);
+  CHECK(s.stats(s.dispatcher.operators()).figure("dispatcher.open_requests") == 1);
+  slow.join();
+  CHECK(s.stats(s.dispatcher.operators()).figure(kServed) == 2);
+  for (const auto& [id, n] : s.begun()) CHECK(n == 1);
+}
+
 TEST_CASE("an order worker that is out by hand stays out over an upgrade") {
   Scene s;
   CHECK(call(s.dispatcher.operators(), "POST", "/admin/cordon?id=s-1").status == 200);
