--- /dev/null
+++ b/lab/fleet_scenes.h
@@ -0,0 +1,63 @@
+// The scenes that a fleet is counted in, for the tests and for bench/fleet.
+#pragma once
+
+#include <algorithm>
+
+#include "fleet_world.h"
+
+namespace oatledge::lab {
+
+struct FleetScene {
+  const char* name;
+  void (*options)(FleetWorld::Options&);
+  void (*troubles)(FleetWorld&);
+  double seconds;
+};
+
+inline const std::vector<FleetScene>& fleet_scenes() {
+  using Options = FleetWorld::Options;
+  static const std::vector<FleetScene> scenes{
+      {"calm", [](Options&) {}, [](FleetWorld&) {}, 15},
+      // three quarters of the dispatchers are killed within a second and start again from old lists
+      {"herd", [](Options&) {},
+       [](FleetWorld& w) {
+         for (int i = 0; i < 20; ++i) w.at(4 + 0.05 * i, [&w, i] { w.replace(i); });
+         for (int i = 0; i < 75; ++i) w.at(5 + i / 75.0, [&w, i] { w.kill(i, 0.3); });
+       },
+       20},
+      // a third of the workers vanish silently and come back cold, all together
+      {"vanish", [](Options& o) { o.load = 0.4; },
+       [](FleetWorld& w) {
+         for (int i = 0; i < 20; ++i)
+           w.at(5, [&w, i] { w.vanish(i); }), w.at(12, [&w, i] { w.come_back(i); });
+       },
+       24},
+      // six in ten are replaced by new ones within seven seconds
+      {"replace", [](Options& o) { o.load = 0.4; },
+       [](FleetWorld& w) {
+         for (int i = 0; i < 36; ++i) w.at(5 + 7.0 * i / 36, [&w, i] { w.replace(i); });
+       },
+       24},
+      // a few workers fail or crawl, a few dispatchers carry ten times the traffic of the rest
+      {"uneven", [](Options& o) { o.busy = 5; },
+       [](FleetWorld& w) {
+         for (int i = 0; i < 3; ++i) w.at(4, [&w, i] { w.make_bad(i, 0.7, 1); });
+         for (int i = 3; i < 6; ++i) w.at(4, [&w, i] { w.make_bad(i, 0, 0.15); });
+       },
+       20},
+      // half of all messages between dispatchers are lost
+      {"lossy", [](Options& o) { o.lossy = 0.5; }, [](FleetWorld&) {}, 15},
+  };
+  return scenes;
+}
+
+// The scene's own options go over those given, and all that came is answered in the end.
+inline FleetCounts play(const FleetScene& scene, FleetWorld::Options options) {
+  scene.options(options);
+  FleetWorld world(options);
+  scene.troubles(world);
+  world.run_until(scene.seconds);
+  return world.counts();
+}
+
+}  // namespace oatledge::lab
--- /dev/null
+++ b/tests/world_test.cpp
@@ -0,0 +1,84 @@
+// The scenes of lab/fleet_scenes.h, a hundred dispatchers before sixty workers, with bounds on what the fleet
+// costs and how soon it learns. Each bound but those named fails on the variant in which every dispatcher
+// thinks it is alone.
+#include <gtest/gtest.h>
+
+#include "../lab/fleet_scenes.h"
+
+namespace oatledge::lab {
+namespace {
+
+FleetCounts scene(const std::string& name, bool news = true, bool thinks_alone = false) {
+  for (const FleetScene& s : fleet_scenes())
+    if (s.name == name) {
+      FleetWorld::Options o;
+      o.news = news, o.thinks_alone = thinks_alone;
+      return play(s, o);
+    }
+  throw std::invalid_argument(name);
+}
+
+double each(long n, const FleetCounts& c) { return double(n) / double(c.orders); }
+
+TEST(World, TheSameSeedGivesTheSameCounts) {
+  FleetCounts a = scene("uneven"), b = scene("uneven");
+  EXPECT_EQ(a.served, b.served);
+  EXPECT_EQ(a.attempts, b.attempts);
+  EXPECT_EQ(a.messages, b.messages);
+}
+
+TEST(World, EveryOrderIsAnsweredOnceOrStillOpen) {
+  for (const FleetScene& s : fleet_scenes()) {
+    FleetWorld::Options o;
+    s.options(o);
+    FleetWorld w(o);
+    s.troubles(w);
+    w.run_until(s.seconds);
+    const FleetCounts& c = w.counts();
+    EXPECT_EQ(c.orders, c.served + c.refused + c.failed + c.lost + static_cast<long>(w.open())) << s.name;
+  }
+}
+
+// What a scene may cost, and that the variant which thinks it is alone costs more.
+TEST(World, WhatAFleetCostsStaysBounded) {
+  struct Row {
+    const char* name;
+    double failed, late_or_refused, attempts, probes, after_first;  // the first four for each order
+  };
+  for (Row row : {Row{"calm", 0.001, 0.01, 1.02, 1.0, 0}, Row{"herd", 0.01, 0.01, 1.05, 1.1, 100},
+                  Row{"vanish", 0.01, 0.01, 1.05, 1.2, 40}, Row{"replace", 0.015, 0.01, 1.05, 1.1, 80},
+                  Row{"uneven", 0.015, 0.02, 1.05, 1.0, 150}, Row{"lossy", 0.001, 0.01, 1.02, 1.2, 0}}) {
+    FleetCounts c = scene(row.name);
+    EXPECT_LE(each(c.failed, c), row.failed) << row.name;
+    EXPECT_LE(each(c.late + c.refused, c), row.late_or_refused) << row.name;
+    EXPECT_LE(each(c.attempts, c), row.attempts) << row.name;
+    EXPECT_LE(each(c.probes, c), row.probes) << row.name;  // 2 and more without news
+    EXPECT_LE(c.after_first, row.after_first) << row.name;
+    EXPECT_LE(c.failed_calls, 30) << row.name;  // of a discovery that all call at once
+    EXPECT_EQ(c.fallen, 0) << row.name;         // nor does it push a worker over
+    EXPECT_LE(c.cold_most, 0.6) << row.name;
+    FleetCounts alone = scene(row.name, true, true);
+    EXPECT_GT(alone.failed_calls, 30) << row.name;
+    EXPECT_GT(each(alone.late + alone.refused, alone), row.late_or_refused) << row.name;
+    EXPECT_GT(each(alone.attempts, alone), row.attempts) << row.name;
+    EXPECT_GE(alone.after_first, row.after_first) << row.name;
+    EXPECT_EQ(alone.cold_most > 0.6, c.cold_most > 0) << row.name;
+  }
+}
+
+TEST(World, WhatOneHasLearnedTheOthersKnowBeforeDiscoveryWould) {
+  FleetCounts c = scene("vanish");
+  ASSERT_FALSE(c.learned.empty());
+  EXPECT_LT(c.learned_at(0.5), 4000);
+  EXPECT_LT(c.learned_at(0.95), 7000);
+}
+
+TEST(World, NewsSaveProbesAndLosingHalfOfThemDoesLittleHarm) {
+  FleetCounts with = scene("calm"), without = scene("calm", false), lossy = scene("lossy");
+  EXPECT_LT(2 * each(with.probes, with), each(without.probes, without));
+  EXPECT_LT(each(lossy.probes, lossy), 1.5 * each(with.probes, with));
+  EXPECT_LE(with.bytes, 255 * with.messages);
+}
+
+}  // namespace
+}  // namespace oatledge::lab
