Keep a listening address unshared without operators; let a crossing call-back come again

Need, found by reading the whole change again: SO_REUSEPORT was set on every listener, so a second copy started by mistake would have taken a part of the connections in silence where it used to end with "address taken"; and a call-back that reached the new process before the job it belongs to (program/upgrade.cpp, common()) was answered 204 by an old process that had just given the job away, so that its result was lost.

Change: the address is shared only where there is an operators' address; such a call-back is answered 503, and the order worker calls again.

--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -124,7 +124,7 @@
   app.start();
   std::optional<program::Upgrade> upgrade;
   if (local.empty()) {
-    network.listen(config.listen, app.acceptor());
+    network.listen(config.listen, app.acceptor(), !config.ops.empty());
   } else {
     upgrade.emplace(loop.context(),
                     program::Upgrade::Options{
--- a/src/program/upgrade.cpp
+++ b/src/program/upgrade.cpp
@@ -179,7 +179,7 @@
 // In the same turn as its health becomes a yes.
 void Upgrade::serve() {
   if (listener_) network_.share_listener(std::move(listener_), app_.acceptor());
-  if (!network_.listener()) network_.listen(options_.self.listen, app_.acceptor());
+  if (!network_.listener()) network_.listen(options_.self.listen, app_.acceptor(), true);
   network_.accept_from_now_on(true);
   app_.serve(true);
   options_.talk(std::move(datagrams_));
@@ -346,6 +346,7 @@
   std::optional<HttpFront::Parting> parting = app_.front().part_with(ref);
   if (!parting) return;
   app_.router().give_away(ref);
+  given_.insert(given->id);
   Message m;
   handover::Job& job = *m.mutable_job();
   job.set_id(given->id), job.set_name(app_.words().classes.at(given->job_class)),
@@ -375,18 +376,23 @@
 
 void Upgrade::common(Link& from, const Message& m) {
   if (m.has_taken()) return app_.router().elsewhere({m.taken().id()});
-  if (m.has_news_taken()) return answered(m.news_taken().number(), true);
+  if (m.has_news_taken()) return answered(m.news_taken().number(), !m.news_taken().again());
   if (m.has_call()) {
     app_.by_hand(m.call().uid(), m.call().out());
     return tell_all(m, &from);
   }
+  bool again = false;
   try {
-    app_.front().hear(protocol::read_news(m.news().body(), app_.words()));
+    protocol::News news = protocol::read_news(m.news().body(), app_.words());
+    // Guards the result of a job that crossed with its call-back: neither process would know it then.
+    again = given_.contains(news.id);
+    if (!again) app_.front().hear(std::move(news));
   } catch (const protocol::Refused& e) {
     log_.line("upgrade", std::string("a call-back from the other process: ") + e.what());
   }
   Message taken;
   taken.mutable_news_taken()->set_number(m.news().number());
+  taken.mutable_news_taken()->set_again(again);
   tell(from, taken);
 }
 
--- a/src/program/upgrade.h
+++ b/src/program/upgrade.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 #include "../handover/succession.h"
 #include "../transport/gio_network.h"
@@ -90,6 +91,7 @@
   std::unique_ptr<transport::LocalListener> found_here_;
   std::map<std::uint64_t, Waiting> asked_;
   std::uint64_t asked_last_ = 0;
+  std::set<stagehinge::RequestId> given_;  // jobs that the new process has, or will have in a moment
   std::size_t accepted_limit_ = 0;
 };
 
--- a/src/transport/gio_network.cpp
+++ b/src/transport/gio_network.cpp
@@ -64,7 +64,7 @@
   ::close(poll_);
 }
 
-void GioNetwork::listen(const std::string& address, Acceptor& acceptor) {
+void GioNetwork::listen(const std::string& address, Acceptor& acceptor, bool shared) {
   auto where = parse_address(address);
   if (!where) throw std::runtime_error("not an address to listen on: " + address);
   Error error;
@@ -73,7 +73,7 @@
   g_socket_set_listen_backlog(listener_.get(), kBacklog);
   // So that a second process of this dispatcher can serve beside this one where the socket itself cannot be
   // passed.
-  g_socket_set_option(listener_.get(), SOL_SOCKET, SO_REUSEPORT, 1, nullptr);
+  if (shared) g_socket_set_option(listener_.get(), SOL_SOCKET, SO_REUSEPORT, 1, nullptr);
   if (!g_socket_bind(listener_.get(), where.get(), TRUE, error.out()) ||
       !g_socket_listen(listener_.get(), error.out()))
     throw std::runtime_error("cannot listen on " + address + ": " + error.text());
--- a/src/transport/gio_network.h
+++ b/src/transport/gio_network.h
@@ -27,7 +27,9 @@
              Complain complain);
   ~GioNetwork() override;
 
-  void listen(const std::string& address, Acceptor& acceptor);  // throws std::runtime_error
+  // Throws std::runtime_error. `shared`: a second process of this dispatcher may listen there too; else one
+  // that is started by mistake finds the address taken.
+  void listen(const std::string& address, Acceptor& acceptor, bool shared = false);
   // The same on a socket that another process listens on too, from accept_from_now_on(true).
   void share_listener(Descriptor listening, Acceptor& acceptor);
   Descriptor listener() const;  // of the listening socket, for another process
--- a/tests/net/sockets_test.cpp
+++ b/tests/net/sockets_test.cpp
@@ -77,6 +77,13 @@
   CHECK_FALSE(s.network.connect("nowhere", s.client, Urgency::Normal));
 }
 
+// A second copy that is started by mistake must not take a part of the connections.
+TEST_CASE("a listening address is shared only where that is asked for") {
+  Scene s;
+  GioNetwork other(s.loop.context(), s.deadlines, s.clock, {8, 16}, [](const std::string&) {});
+  CHECK_THROWS_AS(other.listen(s.address, s.server, true), std::runtime_error);
+}
+
 // Guards the descriptors of the instances' side: past the limit an idle client goes, else the newcomer waits.
 TEST_CASE("a crowd sheds its idle connections and leaves the others their descriptors") {
   Scene s({2, 16});
