Tell news between dispatchers in small fleets, and on the simulator's wire

Reports come with probes alone and are 0.5 to 1.9 s old, jobs take 0.3 s: what a dispatcher takes for others' work is of jobs that have long ended. src/gossip/loads.cpp near_to() returned nobody under 24 dispatchers, and src/simhost/host.h passed WHISPER over. Change: near_to() names all in a small fleet; the adapter sends and hears the same messages. Way not taken: counting own jobs back to the report's moment; the report itself is too old.

--- a/src/gossip/loads.cpp
+++ b/src/gossip/loads.cpp
@@ -19,14 +19,14 @@
 // Those with the least hash of the two numbers: no order, so that the groups of different workers overlap in
 // all ways and a crowd at one dispatcher spreads over the whole fleet.
 std::vector<int> near_to(std::string_view worker, int dispatchers) {
-  if (dispatchers < static_cast<int>(3 * kNear)) return {};
   std::vector<std::pair<std::uint64_t, int>> order;
   for (int i = 0; i < dispatchers; ++i)
     order.emplace_back(XXH3_64bits_withSeed(worker.data(), worker.size(), static_cast<XXH64_hash_t>(i) + 1),
                        i);
-  std::partial_sort(order.begin(), order.begin() + kNear, order.end());
+  std::size_t many = std::min(kNear, order.size());
+  std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(many), order.end());
   std::vector<int> near;
-  for (std::size_t i = 0; i < kNear; ++i) near.push_back(order[i].second);
+  for (std::size_t i = 0; i < many; ++i) near.push_back(order[i].second);
   return near;
 }
 
--- a/src/gossip/loads.h
+++ b/src/gossip/loads.h
@@ -25,7 +25,7 @@
 
 // The numbers of the `dispatchers` that are near to a worker: they look at it first, and tell each other what
 // they have there. The same wherever it is asked, as many for each worker, and about as many workers for
-// each. Nobody in a small fleet, where each dispatcher sees enough by itself.
+// each. All of them in a small fleet.
 std::vector<int> near_to(std::string_view worker, int dispatchers);
 
 inline constexpr std::size_t kLongest = 255;  // bytes of a message
--- a/src/simhost/wire.h
+++ b/src/simhost/wire.h
@@ -135,6 +135,25 @@
   for (int shift = 60; shift >= 0; shift -= 4) out += "0123456789abcdef"[(id >> shift) & 15];
 }
 
+inline std::string read_bytes(std::string_view hex) {
+  std::string bytes;
+  if (hex == "-") hex = {};
+  if (hex.size() % 2 != 0) throw Malformed("half a byte");
+  for (std::size_t i = 0; i < hex.size(); i += 2) {
+    unsigned char byte = 0;
+    auto [end, error] = std::from_chars(hex.data() + i, hex.data() + i + 2, byte, 16);
+    if (error != std::errc() || end != hex.data() + i + 2) throw Malformed("not a byte");
+    bytes += static_cast<char>(byte);
+  }
+  return bytes;
+}
+
+inline void write_message(int to, std::string_view bytes, std::string& out) {
+  out += "BROADCAST_TO " + std::to_string(to) + ' ';
+  for (unsigned char c : bytes) out += "0123456789abcdef"[c >> 4], out += "0123456789abcdef"[c & 15];
+  out += '\n';
+}
+
 inline void write_action(const stagehinge::Action& a, std::string& out) {
   using stagehinge::ActionKind;
   switch (a.kind) {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -95,6 +95,41 @@
       "EOR 2\n");
 }
 
+// Guards against dispatchers of a small fleet that all see the same old report: each tells what it sends and
+// ends, and a worker full of another's jobs is not taken for a free one.
+TEST(Wire, WhatOneSendsTheOthersCountAsWork) {
+  auto launch = [](int index) {
+    return "TARGET_INSTANCE scheduler/" + std::to_string(index) +
+           "\nLAUNCH 1 Balancers=2 Index=" + std::to_string(index) +
+           " Lanes.count=1 Lanes.0.Effect=safe Lanes.0.AimMs=60.0 Lanes.0.DeadlineMs=4000.0 "
+           "Permissions.MaxAttempts=3 Permissions.Peers=true\nMANIFEST 0 2\nROW a:1 0 0 0 Ready 1 -\n"
+           "ROW b:1 0 0 0 Ready 1 -\nBACKENDS_CHANGED Persisted 1 0\n";
+  };
+  auto request = [](int index, const std::string& id) {
+    return "TARGET_INSTANCE scheduler/" + std::to_string(index) + "\nREQ 00000000000000" + id +
+           " 0 - - 4000.0 12.0 1 - 1\n";
+  };
+  Host host;
+  std::string reply = feed(host, "CLOCK 1000 1\n" + launch(0) + launch(1) + request(0, "aa") + "GO\n");
+  std::string first = reply.find("RELAY 00000000000000aa a:1") != std::string::npos ? "a:1" : "b:1";
+  std::size_t message = reply.find("BROADCAST_TO 1 11");  // one job
+  ASSERT_NE(message, std::string::npos) << reply;
+  std::string entry = reply.substr(message + 17, 4), other = first == "a:1" ? "b:1" : "a:1";
+  for (std::string jobs : {"10", "13"}) {  // none there; then more than its slots
+    Host hears;
+    feed(hears, "CLOCK 1000 1\n" + launch(1) + "GO\n");
+    std::string next = feed(hears, "CLOCK 1010 2\nTARGET_INSTANCE scheduler/1\nWHISPER 0 " + jobs + entry +
+                                       "\n" + request(1, "bb") + "GO\n");
+    EXPECT_NE(next.find("RELAY 00000000000000bb " + (jobs == "10" ? first : other)), std::string::npos) << next;
+  }
+  reply = feed(host, "CLOCK 1030 3\nTARGET_INSTANCE scheduler/0\nRESPONSE 00000000000000aa 0 - 1 " + first +
+                         " success 19 -\nGO\n");
+  EXPECT_NE(reply.find("BROADCAST_TO 1 10" + entry), std::string::npos) << reply;
+  for (const char* bad : {"WHISPER 0 1", "WHISPER 0 zz", "WHISPER x 10"})
+    EXPECT_THROW(feed(host, std::string("CLOCK 1040 4\nTARGET_INSTANCE scheduler/1\n") + bad + "\nGO\n"),
+                 Malformed);
+}
+
 TEST(Wire, SettingsAreReadAndUnknownOnesPassedOver) {
   stagehinge::Settings s;
   Columns columns = read_settings(
