Hold jobs by worth, and join no queue where no second copy may help

Change: turn() is worth for a unit of work as it is now, then the limit; both pools are looked at for a free slot before a queue; a queue is joined only where the settings allow second copies: elsewhere nothing gets a job out of it again.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,7 +1,6 @@
-// Every decision of stagehinge. The types, events and actions are in include/stagehinge/dispatcher.h.
-// Read in the order of a job's life: the list and the pools, the cutoff, arrival, the choice of a worker,
-// sending, holding, watching, the end. SITA-U-fair (Schroeder and Harchol-Balter) is the ordinary path; what
-// departs from it is marked EXCEPTION with the condition under which it acts.
+// Every decision of stagehinge, in the order of a job's life: the list and the pools, the cutoff, arrival,
+// the choice of a worker, sending, holding, watching, the end. SITA-U-fair (Schroeder and Harchol-Balter) is
+// the ordinary path; what departs from it is marked EXCEPTION with the condition under which it acts.
 #include "stagehinge/dispatcher.h"
 
 #include <algorithm>
@@ -26,10 +25,9 @@
 constexpr double kSaneWorkMs = 1e7;  // hints outside (0, this] are as good as missing
 
 // Choice and hold.
-constexpr double kQueueShare = 0.3;   // of a job's slack may be spent waiting in a worker's queue
-constexpr Duration kReportAge{1000};  // load reports may be this old when they come
-constexpr double kCopyShare = 0.2;    // of its slack a job waits in a queue before a second copy may pay
-constexpr double kUsualMost = 0.45;  // of a worker's slots is taken as others' for good, unless news say less
+constexpr double kQueueShare = 0.3;      // of a job's slack may be spent waiting in a worker's queue
+constexpr Duration kReportAge{1000};     // load reports may be this old when they come
+constexpr double kCopyShare = 0.2;       // of its slack a job waits in a queue before a second copy may pay
 constexpr double kSpeedMemory = 0.85;    // weight kept by older speed samples at each new one
 constexpr std::size_t kHeldLook = 24;    // held jobs looked at when a worker has room
 constexpr std::size_t kOfferMisses = 4;  // held jobs that may fail to go before an offer is over: CPU
@@ -189,10 +187,9 @@
     }
   }
 
-  // Subscribe at launch and again after each error, inside must_ask_in or what a failed call leaves of four
-  // times that. Discovery serves all dispatchers one by one, and those whose calls fail together would come
-  // again together and keep it overbooked: pauses grow with their number, and where they are many and a list
-  // is held from before, there is one before the first call too.
+  // Subscribe at launch and after each error, inside must_ask_in or what a failed call leaves of four times
+  // that. Discovery serves all one by one, and those whose calls fail together would keep it overbooked:
+  // pauses grow with their number; where they are many and hold a list, one comes before the first call too.
   void subscribe() {
     out_->push_back({.kind = ActionKind::Subscribe});
     subscribed_ = false;
@@ -392,8 +389,7 @@
   // ours. It fades as such jobs end, within about two mean runs.
   double others(const Worker& w) const {
     if (told(w)) return *w.peers;
-    double usual = std::min(w.others, usual_others_ * w.slots);
-    return usual + (w.others - usual) / (1 + (now_ - w.others_at) / Duration(2 * mean_work_));
+    return w.others / (1 + (now_ - w.others_at) / Duration(2 * mean_work_));
   }
 
   // How long until a job of ours would start there, the queue being served in order.
@@ -422,8 +418,9 @@
 
   // SITA-U-fair with its exceptions as an order of preference. The job goes to the worker with least own
   // outstanding work over capacity in its pool. EXCEPTION spill: to the other pool when in its own nobody can
-  // start it within kQueueShare of its slack. EXCEPTION zones: to another zone when that saves a larger part
-  // of its slack than the crossing costs of its worth. Nothing: hold it.
+  // start it now. A queue, for kQueueShare of the slack at most, is joined only when neither can, and where
+  // second copies may help who waits there: nothing else gets a job out of a queue. EXCEPTION zones: to
+  // another zone when that saves more of its slack than the crossing costs of its worth. Nothing: hold it.
   Worker* choose(const Job& job) {
     Choice home = best_of(job, false), away;
     double price = cross_price(job);
@@ -436,15 +433,16 @@
   Choice best_of(const Job& job, bool cross) {
     Choice best;
     double least = 0;
-    for (bool own_pool : {true, false}) {
-      bool pool = own_pool == is_short(job);
+    for (int round : {0, 1, 2, 3}) {
+      bool pool = (round % 2 == 0) == is_short(job);
+      double most = job.late || round < 2 || !set_.parallel_tries ? 0 : kQueueShare;
       look(job, pools_[cross][pool], [&](Worker& w) {
         if (!eligible(w, job) || (w.zone != set_.zone) != cross || w.short_pool != pool) return;
         Duration delay = start_delay(w, job), slack = job.limit - now_ - run_time(w, job);
         if (slack < Duration(0) || (job.over && !has_room(w, job, -0.5))) return;  // for the next, worth more
         double share = delay / std::max(slack, Duration(1e-3));
         if (!best.worker) best.delay_share = std::min(best.delay_share, share);
-        if (share > (job.late ? 0 : kQueueShare)) return;
+        if (share > most) return;
         double added = draws() ? 0 : job.load();  // drawn: of those that tie the first, not the fastest
         double r = (w.own_work + others(w) * mean_work_ + added) / (w.slots * likely_speed(w));
         if (!best.worker || r < least) best = {&w, share}, least = r;
@@ -459,9 +457,8 @@
   }
 
   // EXCEPTION draw: where the fleet is much larger than this dispatcher's part of it, its own work says
-  // nothing of most workers, and all dispatchers would rush to the same fastest one. It looks at a few of the
-  // pool, drawn in proportion to capacity by its own seed, and least work decides among these. In a small
-  // fleet, or with few dispatchers, or when earlier attempts leave only few workers, it looks at all.
+  // nothing of most workers, and all would rush to the same fastest one. It looks at a few of the pool, drawn
+  // by capacity and its own seed. In a small fleet, or when earlier attempts leave only few, it looks at all.
   std::size_t few() const {
     return static_cast<std::size_t>(std::max(kLookLeast, kLookPart * ready_.size() / set_.balancers));
   }
@@ -604,12 +601,19 @@
   void hold(Job& job) {
     if (job.held_key) return;
     job.asked.clear();
-    job.held_key = job.turn();
+    job.held_key = turn(job);
     held_.emplace(*job.held_key, job.request.id);
     arm(std::max(now_, last_chance(job)), DueKind::Limit, job.request.id);
     if (!sweeping_) arm(now_ + kHeldEvery, DueKind::Held, 0), sweeping_ = true;
   }
 
+  // Most worth for a unit of work first, then least time left: in an overload some wait in vain.
+  Turn turn(const Job& job) const {
+    double worth = job.cls.worth * (job.late ? job.cls.late_worth : 1);
+    if (job.over) worth *= set_.over_share_worth;
+    return {set_.worth_by_work ? -worth : -worth / job.load(), job.limit};
+  }
+
   void unhold(Job& job) {
     if (!job.held_key) return;
     held_.erase({*job.held_key, job.request.id});
@@ -623,8 +627,7 @@
     return job.limit - Duration(kHopeless * job.work / fastest);
   }
 
-  // A held job can no longer be in time: refuse it early, while it has provably not run, or, where late
-  // answers have some worth, keep it behind the others until the client's patience ends.
+  // A held job can no longer be in time: refuse it early, or, where late answers have worth, keep it on.
   void limit_due(Job& job) {
     if (!job.held_key || now_ < last_chance(job) || place(job)) return;
     unhold(job);
@@ -643,8 +646,7 @@
       place(jobs_.at((it++)->second));
   }
 
-  // Room appeared at a worker: held jobs that would be in time there are placed under the same conditions as
-  // on arrival, those with the least time left first.
+  // Room appeared at a worker: held jobs that would be in time there are placed as on arrival.
   void offer(Worker& w) {
     std::size_t looked = 0, misses = 0;
     for (auto it = held_.begin(); it != held_.end() && looked < kHeldLook; ++looked) {
@@ -708,10 +710,7 @@
   }
   bool told(const Worker& w) const { return w.peers && now_ - heard_peers_ < kPeersLast; }
 
-  void see_others(Worker& w, double slots) {
-    w.others = std::max(0.0, slots), w.others_at = now_;
-    usual_others_ += 0.02 * (std::min(kUsualMost, w.others / w.slots) - usual_others_);
-  }
+  void see_others(Worker& w, double slots) { w.others = std::max(0.0, slots), w.others_at = now_; }
 
   void watch(Job& job) {
     // Its client may be the slow one, and of a body that passes through there is only one: no doubt, no copy.
@@ -745,8 +744,8 @@
       if (Worker* w = choose(job); w && (urgent || has_room(*w, job))) send(job, *w);
   }
 
-  // Still in a worker's queue when even an immediate start would end late, and late is worth nothing: the job
-  // is given up and cancelled, so that those behind it move up. Part of hold: a refusal after the sending.
+  // Still queued when even a start now would end late, and late is worth nothing: cancelled, so that those
+  // behind it move up. Part of hold: a refusal after the sending.
   bool waiting_in_vain(const Job& job) {
     bool gives_up = set_.tells_start && set_.cancelling && job.cls.late_worth <= 0;
     return gives_up && now_ >= last_chance(job) && std::ranges::none_of(job.attempts, &Attempt::started);
@@ -1014,7 +1013,7 @@
   std::vector<Worker*> ready_;
   Pool pools_[2][2];                         // [in another zone][short]
   std::unordered_map<RequestId, Job> jobs_;  // never iterated for a decision
-  std::set<std::pair<Time, RequestId>> held_;
+  std::set<std::pair<Turn, RequestId>> held_;
   std::deque<Time> taken_, extras_;  // requests, and attempts beyond a request's first, of the last window
   std::map<std::size_t, ClassStats> class_stats_;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> dues_;
@@ -1026,8 +1025,8 @@
   Time traffic_at_{};
   Recent recent_;
   HintHistogram hints_;
-  double cutoff_ = 0, short_share_ = 0.5, mean_work_ = 100, mean_worth_ = 0, usual_others_ = 0,
-         usual_errors_ = 0, mean_speed_ = 1, most_slots_ = kGuessedSlots;
+  double cutoff_ = 0, short_share_ = 0.5, mean_work_ = 100, mean_worth_ = 0, usual_errors_ = 0,
+         mean_speed_ = 1, most_slots_ = kGuessedSlots;
   Time cutoff_due_{}, heard_peers_{Duration(-1e12)};
   bool subscribed_ = false, sweeping_ = false;
   std::uint64_t ask_ = 0;  // the latest call or wait for the list; its timer alone counts
--- a/src/state.h
+++ b/src/state.h
@@ -84,6 +84,8 @@
   bool open = true, may_have_run = true, started = false;
 };
 
+using Turn = std::pair<double, Time>;  // of a held job, the least first
+
 struct Job {
   Request request;
   ClassSettings cls;  // as it was when the job came
@@ -95,9 +97,8 @@
   std::vector<Attempt> attempts;
   bool late = false;  // only late worth is left: runs where it keeps nobody waiting
   bool over = false;  // beyond its tenant's share: the same, and after all others that are held
-  Time turn() const { return limit + (over ? 1 : 0) * Duration(std::chrono::hours(1)); }  // when held
   double load() const { return work * request.slots; }  // slot-weighted work
-  std::optional<Time> held_key;
+  std::optional<Turn> held_key;
   std::vector<Worker*> asked;  // for their load, before the job goes
   int awaited = 0, rounds = 0;
 };
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -145,6 +145,62 @@
   EXPECT_EQ(s.sent_to(3), "a");
 }
 
+// Guards the worth of a day: booked jobs worth ten of the others were held behind them until nobody waited.
+TEST(Hold, WhoIsWorthMostForItsWorkGoesFirstAndWhoIsLateByWhatIsLeft) {
+  Settings set = settings(Effect::Unsafe);
+  set.classes.push_back(set.classes[0]);
+  set.classes[0].late_worth = 0.2, set.classes[1].late_worth = 0.3;
+  set.classes[1].worth = 10, set.classes[1].aim = Duration(800);
+  Scene s(set);
+  s.list({s.worker("a")});
+  ASSERT_NO_FATAL_FAILURE(s.fill("a", 5000));
+  auto hold = [&](RequestId id, std::size_t job_class) {
+    s.actions.clear();
+    Request r{.id = id, .job_class = job_class, .patience = Duration(10000), .hint = Duration(100)};
+    s.dispatcher_.on_request(s.now, r, s.actions);
+    ASSERT_TRUE(s.sent_to(id).empty());
+  };
+  hold(3, 1);
+  s.pass(1500);  // late now: worth 3 still
+  hold(4, 0);    // worth 1, and has least time left
+  hold(5, 1);    // worth 10
+  for (RequestId first : {5, 3, 4}) {
+    s.end(first == 5 ? 1 : first == 3 ? 5 : 3, 0, Outcome::Success, true);
+    EXPECT_EQ(s.sent_to(first), "a");
+  }
+}
+
+TEST(Choice, AFreeSlotOfTheOtherPoolGoesBeforeAQueueInTheOwn) {
+  Scene s(settings());
+  s.list({s.worker("a"), s.worker("b")});
+  std::map<std::string, int> at;
+  for (RequestId id = 1; id <= 4;
+       ++id) {  // jobs of one size: one pool's; the queue would cost 0.2 of the slack
+    s.request(id, 100);
+    ++at[s.sent_to(id)];
+  }
+  EXPECT_EQ(at["a"], 2);
+  EXPECT_EQ(at["b"], 2);
+}
+
+// Where no second copy may be sent, a job in a queue is lost to whatever stands before it.
+TEST(Choice, AQueueIsJoinedOnlyWhereASecondCopyMayHelp) {
+  for (bool copies : {true, false}) {
+    Settings set = settings();
+    set.parallel_tries = copies;
+    Scene s(set);
+    s.list({s.worker("a")});
+    ASSERT_NO_FATAL_FAILURE(s.fill("a", 100));
+    s.pass(60);
+    s.request(3, 400);
+    EXPECT_EQ(s.sent_to(3), copies ? "a" : "");
+    s.end(1, 0, Outcome::Success, true);
+    if (!copies) {
+      EXPECT_EQ(s.sent_to(3), "a");
+    }
+  }
+}
+
 TEST(Hold, QueuedJobsThatCanOnlyBeLateAreGivenUpAndCancelled) {  // incident ic10efd
   Scene s(settings(Effect::Unsafe));
   s.list({s.worker("a")});
