--- a/src/simhost/host.h
+++ b/src/simhost/host.h
@@ -123,6 +123,7 @@
                 kind == 1 ? stagehinge::NoteKind::Started : stagehinge::NoteKind::Progress, actions_);
     } else if (what == "WAKEUP") {
       d.on_timer(now_, actions_);
+      if (host_->loads) host_->loads->expire(now_, changed(d));
     } else if (what == "HEALTH") {
       std::string_view worker = f.word();
       stagehinge::Outcome outcome = read_outcome(f.word());
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -115,14 +115,22 @@
   std::size_t message = reply.find("BROADCAST_TO 1 11");  // one job
   ASSERT_NE(message, std::string::npos) << reply;
   std::string entry = reply.substr(message + 17, 4), other = first == "a:1" ? "b:1" : "a:1";
-  for (std::string jobs : {"10", "13"}) {  // none there; then more than its slots
+  std::string whisper = "TARGET_INSTANCE scheduler/1\nWHISPER 0 ", at_other;
+  for (std::string jobs : {"10", "13"}) {  // none there; more than its slots
     Host hears;
     feed(hears, "CLOCK 1000 1\n" + launch(1) + "GO\n");
-    std::string next = feed(hears, "CLOCK 1010 2\nTARGET_INSTANCE scheduler/1\nWHISPER 0 " + jobs + entry +
-                                       "\n" + request(1, "bb") + "GO\n");
+    std::string next =
+        feed(hears, "CLOCK 1010 2\n" + whisper + jobs + entry + "\n" + request(1, "bb") + "GO\n");
     EXPECT_NE(next.find("RELAY 00000000000000bb " + (jobs == "10" ? first : other)), std::string::npos)
         << next;
+    at_other = next.substr(next.find("BROADCAST_TO 0 11") + 17, 4);
   }
+  // What is not told again counts for ten seconds: a dispatcher that was killed says no more.
+  Host hears;
+  feed(hears, "CLOCK 1000 1\n" + launch(1) + whisper + "13" + entry + "\nGO\n");
+  feed(hears, "CLOCK 11005 2\n" + whisper + "11" + at_other + "\nWAKEUP 1\nGO\n");
+  std::string next = feed(hears, "CLOCK 11010 3\n" + request(1, "bb") + "GO\n");
+  EXPECT_NE(next.find("RELAY 00000000000000bb " + first), std::string::npos) << next;
   reply = feed(host, "CLOCK 1030 3\nTARGET_INSTANCE scheduler/0\nRESPONSE 00000000000000aa 0 - 1 " + first +
                          " success 19 -\nGO\n");
   EXPECT_NE(reply.find("BROADCAST_TO 1 10" + entry), std::string::npos) << reply;
