--- a/examples/toy_fleet.py
+++ b/examples/toy_fleet.py
@@ -1,15 +1,21 @@
 #!/usr/bin/env python3
-"""A discovery and two order workers on the loopback, to try the dispatcher with. Not a load rig: it keeps no queue."""
+"""A discovery and two order workers on the loopback, to try the dispatcher with. Not a load rig: it keeps no queue.
+
+    toy_fleet.py [CONFIG]    the configuration whose zones, kinds and reports the fleet takes up
+"""
 
 import hashlib
 import http.client
 import json
+import sys
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlparse
 
 DISPATCHER = "127.0.0.1:5000"
+SETTINGS = json.load(open(sys.argv[1] if len(sys.argv) > 1 else "examples/config.json"))["settings"]
+REPORT = {"fail_rate": 0, "q": 0, "rif": 0, "x0": 2}
 WORKERS = {"s-one": 6001, "s-two": 6002}
 
 
@@ -32,14 +38,15 @@
         if "index" in query:  # a watch: nothing ever changes here
             time.sleep(int(query["wait"][0]) / 1000)
         targets = [] if "index" in query else [
-            {"uid": uid, "endpoint": f"127.0.0.1:{port}", "az": "room", "model": "std", "pod_group": 0,
-             "state": "up", "capacity_hint": 2.0, "boot_ms": 0} for uid, port in WORKERS.items()]
+            {"uid": uid, "endpoint": f"127.0.0.1:{port}", "az": SETTINGS["Localities"][i % len(SETTINGS["Localities"])],
+             "model": SETTINGS["Skus"][i % len(SETTINGS["Skus"])], "pod_group": 0, "state": "up",
+             "capacity_hint": 2.0, "boot_ms": 0} for i, (uid, port) in enumerate(WORKERS.items())]
         self.answer(200, json.dumps({"rev": 1, "all": "index" not in query, "targets": targets}).encode())
 
 
 class Worker(Handler):
     def do_GET(self):
-        self.answer(200, json.dumps({"fail_rate": 0, "q": 0, "x0": 2}).encode())
+        self.answer(200, json.dumps({c: REPORT[c] for c in SETTINGS["Report"]["Columns"]}).encode())
 
     def do_DELETE(self):
         print(f"{self.server.uid}: gave up {self.path}", flush=True)
--- a/examples/two_orders.py
+++ b/examples/two_orders.py
@@ -1,21 +1,31 @@
 #!/usr/bin/env python3
-"""Hands in a small order and one of 50 MB, and shows both answers. Exits with 1 unless both were served."""
+"""Hands in a small order and one of 50 MB, and shows both answers. Exits with 1 unless both were served.
+
+    two_orders.py [CONFIG]    the configuration whose last class and first tenant, if it has any, the orders are of
+"""
 
 import hashlib
 import http.client
+import json
 import os
 import sys
 import time
 
 DISPATCHER = "127.0.0.1:5000"
+SETTINGS = json.load(open(sys.argv[1] if len(sys.argv) > 1 else "examples/config.json"))["settings"]
+KIND = SETTINGS["Lanes"][-1]
 
 
 def order(body):
     connection = http.client.HTTPConnection(DISPATCHER, timeout=60)
     start = time.monotonic()
-    connection.request("POST", "/api/menu", body, {
-        "X-Correlation-Id": os.urandom(8).hex(), "X-Service-Class": "place-order", "X-Account": "lanting-bento",
-        "X-Time-Left-Ms": "30000", "X-Weight-Hint": "300000"})
+    headers = {"X-Correlation-Id": os.urandom(8).hex(), "X-Service-Class": KIND["Name"], "X-Time-Left-Ms": "30000",
+               "X-Weight-Hint": "300000"}
+    if "Tenants" in SETTINGS:
+        headers["X-Account"] = SETTINGS["Tenants"][0]["Name"]
+    if KIND["Effect"] == "keyed":
+        headers["Idempotency-Key"] = os.urandom(16).hex()
+    connection.request("POST", "/api/menu", body, headers)
     answer = connection.getresponse()
     text = answer.read().decode()
     connection.close()
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -168,7 +168,8 @@
   }
   c.words.wall_to_steady = wall_to_steady;
   c.fixed = {{"name", c.name}, {"listen", c.listen}, {"ops", c.ops}, {"limits", limits.toStyledString()}};
-  if (reader.yes("Permissions.Peers")) {
+  c.may_talk = reader.yes("Permissions.Peers");
+  if (c.may_talk) {
     if (all["peer_listen"].isString()) c.peer_listen = all["peer_listen"].asString();
     for (const Json::Value& peer : all["peers"]) c.peers.push_back(peer.isString() ? peer.asString() : "");
   }
--- a/src/program/config.h
+++ b/src/program/config.h
@@ -19,6 +19,7 @@
   stagehinge::Settings settings;
   protocol::Vocabulary words;
   std::optional<protocol::NameList> known;
+  bool may_talk = false;           // with other dispatchers
   std::string peer_listen;         // empty: dispatchers do not talk with each other
   std::vector<std::string> peers;  // their addresses, by the dispatchers' numbers
   // What a running program cannot take over, as written: a reload that changes one of these says so.
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <iterator>
 
+#include "../settings/permits.h"
 #include "../transport/gio_network.h"
 #include "../transport/loop.h"
 #include "app.h"
@@ -137,6 +138,16 @@
   log.line("stop", "ended");
 }
 
+// What a configuration permits, to standard output; what in it contradicts itself, to standard error.
+void show(const std::string& path) {
+  program::Config c = program::read_config(read_file(path), environment, transport::Duration(0));
+  settings::Place place{c.sockets,      c.memory_mb, c.may_talk, !c.peer_listen.empty(),
+                        c.peers.size(), c.most_open};
+  std::fputs(settings::describe(c.settings, place).c_str(), stdout);
+  for (const std::string& warning : settings::contradictions(c.settings, place))
+    std::fprintf(stderr, "warning: %s\n", warning.c_str());
+}
+
 }  // namespace
 
 int main(int argc, char** argv) try {
@@ -147,8 +158,13 @@
       ->type_name("FILE");
   line.add_flag("--trace", trace, "log each thing that happens to a command (lab/fleet_table.py reads it)");
   line.set_version_flag("--version", "oatledge " OATLEDGE_VERSION);
-  CLI::App* check = line.add_subcommand("check", "say what is wrong with a features file, and end");
-  check->add_option("--features", path, "the file")->type_name("FILE")->required();
+  std::string config_path;
+  CLI::App* check =
+      line.add_subcommand("check", "say what a file permits and what is wrong with it, and end");
+  auto* files = check->add_option_group("files");
+  files->add_option("--features", path, "a features file")->type_name("FILE");
+  files->add_option("--config", config_path, "a configuration, as ROUTER_CONFIG names")->type_name("FILE");
+  files->require_option(1, 2);
   CLI11_PARSE(line, argc, argv);
   features::Features features;
   if (!path.empty()) try {
@@ -157,6 +173,7 @@
       std::fprintf(stderr, "%s\n", e.what());
       return 1;
     }
+  if (!config_path.empty()) show(config_path);
   if (!check->parsed()) run(features, trace);
   return 0;
 } catch (const std::exception& e) {
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "../../src/features/features.h"
+#include "../../src/settings/permits.h"
 #include "player.h"
 
 using namespace oatledge;
@@ -298,3 +299,51 @@
   CHECK(fault(std::string("\0\xff", 2)).starts_with("f:1:"));
   CHECK_THROWS_AS(oatledge::features::read_features_file("/nowhere"), BadFeatures);
 }
+
+TEST_CASE("what settings permit is told, and each contradiction in them") {
+  using namespace oatledge::settings;
+  using stagehinge::Effect;
+  stagehinge::Settings s;
+  stagehinge::ClassSettings c;
+  c.name = "book", c.effect = Effect::Keyed, c.group = stagehinge::Group::Zone;
+  c.memory_span = stagehinge::Duration(10000), c.deadline = stagehinge::Duration(8000);
+  c.aim = stagehinge::Duration(500), c.worth = 10;
+  s.classes = {c};
+  s.max_attempts = 3, s.may_probe = s.cancelling = true, s.reports = stagehinge::ReportMode::OnProbe;
+  s.connect_timeout = stagehinge::Duration(250), s.ramp_time = stagehinge::Duration(9000), s.tip_multiple = 3;
+  const Place place{1024, 192, false, false, 0, 0};
+  REQUIRE(contradictions(s, place).empty());
+  CHECK(describe(s, place).find("in its zone, 9498 ms from its first send") != std::string::npos);
+  using Set = stagehinge::Settings;
+  auto none = stagehinge::Duration(0);
+  struct Row {
+    const char* says;
+    std::function<void(Set&, Place&)> change;
+  };
+  for (const Row& row : std::vector<Row>{
+           {"too short for a repeat",
+            [](Set&x, Place&) { x.classes[0].memory_span = stagehinge::Duration(500); }},
+           {"any time", [](Set&x, Place&) { x.connect_timeout.reset(); }},
+           {"given up after", [](Set&x, Place&) { x.classes[0].aim = stagehinge::Duration(9000); }},
+           {"worth more than one in time", [](Set&x, Place&) { x.classes[0].late_worth = 1.5; }},
+           {"worth nothing", [](Set&x, Place&) { x.classes[0].worth = 0; }},
+           {"one attempt is all", [](Set&x, Place&) { x.max_attempts = 1, x.parallel_tries = true; }},
+           {"cannot be cancelled", [](Set&x, Place&) { x.cancelling = false, x.parallel_tries = true; }},
+           {"probes may not be sent", [](Set&x, Place&) { x.may_probe = false; }},
+           {"none will get a job", [](Set&x, Place&) { x.tip_multiple = 0.5; }},
+           {"count as warm at once", [&](Set&x, Place&) { x.ramp_time = none; }},
+           {"must be asked for", [](Set&x, Place&) { x.must_subscribe = true; }},
+           {"no addresses are given", [](Set&, Place&p) { p.peers_allowed = true; }},
+           {"but 2 addresses", [](Set&, Place&p) { p.peers_allowed = p.listens = true, p.peers = 2; }},
+           {"its own jobs alone",
+            [](Set&x, Place&) { x.balancers = 2, x.reports = stagehinge::ReportMode::Off; }},
+           {"none will cross", [](Set&x, Place&) { x.price_cross_zone = 1; }}}) {
+    Set changed = s;
+    Place there = place;
+    row.change(changed, there);
+    auto found = contradictions(changed, there);
+    INFO(row.says);
+    REQUIRE(found.size() == 1);
+    CHECK(found[0].find(row.says) != std::string::npos);
+  }
+}
--- a/tests/net/program_process.sh
+++ b/tests/net/program_process.sh
@@ -11,6 +11,22 @@
 ROUTER_CONFIG=$0 "$program" 2>>"$log" && fail "a file that is no JSON was accepted"
 [ "$(wc -l <"$log")" -eq 3 ] || fail "a bad configuration is not one line each"
 
+# A configuration is told in a table and what contradicts itself beside it; one that cannot be worked with ends with 1.
+folder=$(dirname "$config")
+for file in "$config" "$folder/couriers.json"; do
+  "$program" check --config "$file" >"$log" 2>&1 || fail "$file does not pass the check"
+  grep -q '^attempts ' "$log" || fail "no table of $file"
+  grep -q '^warning' "$log" && fail "$file contradicts itself"
+done
+grep -q 'take-booking.*in its zone, 9490 ms' "$log" || fail "how a keyed class is repeated is not told"
+sed 's/"MayProbe": true/"MayProbe": false/' "$folder/couriers.json" >"$log.json"
+"$program" check --config "$log.json" 2>&1 >/dev/null | grep -q '^warning: load reports come with probes' || fail "no warning"
+sed 's/"MaxAttempts": 5/"MaxAttempts": 0/' "$folder/couriers.json" >"$log.json"
+"$program" check --config "$log.json" >"$log" 2>&1 && fail "no attempt at all was accepted"
+rm -f "$log.json"
+[ "$(wc -l <"$log")" -eq 1 ] || fail "what cannot be worked with is not one line"
+"$program" check >"$log" 2>&1 && fail "a check of nothing was accepted"
+
 # An address of the loopback that parallel runs do not share; discovery is not there, and the program serves all the same.
 copy=$(mktemp)
 trap 'rm -f "$log" "$copy"' EXIT
