Move the HTTP sides to src/http, and talk between dispatchers to src/fleet

The log goes to src/operations, below the sides that write to it. Way not taken: src/handover for program/upgrade: it stands on App, and a layer depends downward only; it wants an interface first.

--- a/lab/fleet_world.h
+++ b/lab/fleet_world.h
@@ -21,7 +21,7 @@
 #include <string>
 #include <vector>
 
-#include "../src/gossip/loads.h"
+#include "../src/fleet/loads.h"
 
 namespace oatledge::lab {
 
@@ -106,7 +106,7 @@
   };
   struct Node {
     std::optional<stagehinge::Dispatcher> module;
-    std::optional<gossip::Loads> loads;
+    std::optional<fleet::Loads> loads;
     std::uint64_t life = 0;
     bool watching = false;
     int revision = 0;  // of the list that it holds
--- a/src/gossip/loads.cpp
+++ b/src/fleet/loads.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <set>
 
-namespace oatledge::gossip {
+namespace oatledge::fleet {
 namespace {
 
 constexpr unsigned kVersion = 1;
@@ -106,4 +106,4 @@
   }
 }
 
-}  // namespace oatledge::gossip
+}  // namespace oatledge::fleet
--- a/src/gossip/loads.h
+++ b/src/fleet/loads.h
@@ -18,7 +18,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace oatledge::gossip {
+namespace oatledge::fleet {
 
 using stagehinge::Duration;
 using stagehinge::Time;
@@ -70,4 +70,4 @@
   std::unordered_map<std::size_t, int> of_one_;  // jobs believed, by sender
 };
 
-}  // namespace oatledge::gossip
+}  // namespace oatledge::fleet
--- a/src/program/udp_peers.cpp
+++ b/src/fleet/udp_peers.cpp
@@ -1,6 +1,6 @@
 #include "udp_peers.h"
 
-namespace oatledge::program {
+namespace oatledge::fleet {
 namespace {
 
 constexpr transport::Duration kSweep{1000};
@@ -8,7 +8,7 @@
 }  // namespace
 
 UdpPeers::UdpPeers(GMainContext* context, Options options, transport::Deadlines& deadlines,
-                   const transport::Clock& clock, Log& log, transport::Descriptor bound)
+                   const transport::Clock& clock, operations::Log& log, transport::Descriptor bound)
     : options_(std::move(options)),
       deadlines_(deadlines),
       clock_(clock),
@@ -57,4 +57,4 @@
   if (router_) router_->peers_have(instance, jobs);
 }
 
-}  // namespace oatledge::program
+}  // namespace oatledge::fleet
--- a/src/program/udp_peers.h
+++ b/src/fleet/udp_peers.h
@@ -4,12 +4,12 @@
 
 #include <unordered_map>
 
-#include "../gossip/loads.h"
+#include "../operations/log.h"
 #include "../routing/router.h"
 #include "../transport/datagrams.h"
-#include "platform.h"
+#include "loads.h"
 
-namespace oatledge::program {
+namespace oatledge::fleet {
 
 class UdpPeers final : public routing::PeerSide {
  public:
@@ -21,7 +21,7 @@
   // Throws std::runtime_error where the address cannot be had. `bound`: the socket, where another process of
   // this dispatcher had it.
   UdpPeers(GMainContext* context, Options options, transport::Deadlines& deadlines,
-           const transport::Clock& clock, Log& log, transport::Descriptor bound = {});
+           const transport::Clock& clock, operations::Log& log, transport::Descriptor bound = {});
   ~UdpPeers() override { deadlines_.drop(sweep_); }
 
   void attach(routing::Router& router) { router_ = &router; }
@@ -41,9 +41,9 @@
   Options options_;
   transport::Deadlines& deadlines_;
   const transport::Clock& clock_;
-  Log& log_;
+  operations::Log& log_;
   routing::Router* router_ = nullptr;
-  gossip::Loads loads_;
+  Loads loads_;
   std::unordered_map<std::string, std::size_t> senders_;
   std::size_t dropped_ = 0;
   bool speaks_ = true;
@@ -51,4 +51,4 @@
   transport::Deadlines::Handle sweep_;
 };
 
-}  // namespace oatledge::program
+}  // namespace oatledge::fleet
--- a/src/program/front_streams.cpp
+++ b/src/http/front_streams.cpp
@@ -2,7 +2,7 @@
 // reply.
 #include "http_front.h"
 
-namespace oatledge::program {
+namespace oatledge::http {
 
 using protocol::Framing;
 using protocol::Headers;
@@ -205,4 +205,4 @@
   on_.network.bulk(at, false);
 }
 
-}  // namespace oatledge::program
+}  // namespace oatledge::http
--- a/src/program/http_front.cpp
+++ b/src/http/http_front.cpp
@@ -2,7 +2,7 @@
 
 #include <cstdio>
 
-namespace oatledge::program {
+namespace oatledge::http {
 
 using protocol::Headers;
 using protocol::Message;
@@ -362,4 +362,4 @@
     if (sessions_.at(at).parser.idle() && !on_.network.unread(at)) forget(at), on_.network.finish(at);
 }
 
-}  // namespace oatledge::program
+}  // namespace oatledge::http
--- a/src/program/http_front.h
+++ b/src/http/http_front.h
@@ -8,7 +8,7 @@
 #include "platform.h"
 #include "streams.h"
 
-namespace oatledge::program {
+namespace oatledge::http {
 
 struct HttpCargo final : routing::Cargo {
   explicit HttpCargo(protocol::ClientCommand c) : command(std::move(c)) {}
@@ -132,4 +132,4 @@
   std::function<bool(const protocol::News&)> ward_news_;
 };
 
-}  // namespace oatledge::program
+}  // namespace oatledge::http
--- a/src/program/http_instances.cpp
+++ b/src/http/http_instances.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace oatledge::program {
+namespace oatledge::http {
 
 using protocol::Message;
 using routing::AttemptRef;
@@ -328,4 +328,4 @@
   i.idle.clear();
 }
 
-}  // namespace oatledge::program
+}  // namespace oatledge::http
--- a/src/program/http_instances.h
+++ b/src/http/http_instances.h
@@ -7,7 +7,7 @@
 
 #include "http_front.h"
 
-namespace oatledge::program {
+namespace oatledge::http {
 
 class HttpInstances final : public transport::ConnectionHandler, public routing::InstanceSide {
  public:
@@ -111,4 +111,4 @@
   std::map<routing::AttemptRef, Active> active_;
 };
 
-}  // namespace oatledge::program
+}  // namespace oatledge::http
--- a/src/program/http_names.cpp
+++ b/src/http/http_names.cpp
@@ -1,6 +1,6 @@
 #include "http_names.h"
 
-namespace oatledge::program {
+namespace oatledge::http {
 namespace {
 
 constexpr transport::Duration kGrace{1500};  // past the wait; discovery's word counts as told 2 s past it
@@ -106,4 +106,4 @@
   connection_.reset();
 }
 
-}  // namespace oatledge::program
+}  // namespace oatledge::http
--- a/src/program/http_names.h
+++ b/src/http/http_names.h
@@ -4,7 +4,7 @@
 #include "../routing/ports.h"
 #include "platform.h"
 
-namespace oatledge::program {
+namespace oatledge::http {
 
 class HttpNames final : public transport::ConnectionHandler, public routing::NameTableSide {
  public:
@@ -45,4 +45,4 @@
   transport::Deadlines::Handle late_;
 };
 
-}  // namespace oatledge::program
+}  // namespace oatledge::http
--- a/src/program/instance_streams.cpp
+++ b/src/http/instance_streams.cpp
@@ -2,7 +2,7 @@
 // reply.
 #include "http_instances.h"
 
-namespace oatledge::program {
+namespace oatledge::http {
 
 using protocol::Framing;
 using protocol::Message;
@@ -189,4 +189,4 @@
   c.stream.reset();
 }
 
-}  // namespace oatledge::program
+}  // namespace oatledge::http
--- a/src/program/ops_front.cpp
+++ b/src/http/ops_front.cpp
@@ -1,6 +1,6 @@
 #include "ops_front.h"
 
-namespace oatledge::program {
+namespace oatledge::http {
 
 using transport::SlotRef;
 
@@ -66,4 +66,4 @@
   return false;
 }
 
-}  // namespace oatledge::program
+}  // namespace oatledge::http
--- a/src/program/ops_front.h
+++ b/src/http/ops_front.h
@@ -4,16 +4,16 @@
 #include <map>
 
 #include "../operations/calls.h"
+#include "../operations/log.h"
 #include "../transport/deadlines.h"
 #include "../transport/network.h"
-#include "log.h"
 
-namespace oatledge::program {
+namespace oatledge::http {
 
 class OpsFront final : public transport::Acceptor {
  public:
   OpsFront(transport::Network& network, transport::Deadlines& deadlines, const transport::Clock& clock,
-           Log& log, operations::Desk& desk)
+           operations::Log& log, operations::Desk& desk)
       : network_(network), deadlines_(deadlines), clock_(clock), log_(log), desk_(desk) {}
 
   void on_accepted(transport::SlotRef connection) override;
@@ -33,11 +33,11 @@
   transport::Network& network_;
   transport::Deadlines& deadlines_;
   const transport::Clock& clock_;
-  Log& log_;
+  operations::Log& log_;
   operations::Desk& desk_;
   std::map<transport::SlotRef, Caller> callers_;       // whose call has not come whole
   std::map<std::uint64_t, transport::SlotRef> order_;  // the same, longest there first
   std::uint64_t placed_ = 0;
 };
 
-}  // namespace oatledge::program
+}  // namespace oatledge::http
--- a/src/program/platform.h
+++ b/src/http/platform.h
@@ -2,20 +2,20 @@
 #pragma once
 
 #include "../operations/figures.h"
+#include "../operations/log.h"
 #include "../protocol/messages.h"
 #include "../transport/deadlines.h"
 #include "../transport/network.h"
-#include "log.h"
 
-namespace oatledge::program {
+namespace oatledge::http {
 
 struct Platform {
   transport::Network& network;
   transport::Deadlines& deadlines;
   const transport::Clock& clock;
   const protocol::Vocabulary& words;
-  Log& log;
+  operations::Log& log;
   operations::Figures& figures;
 };
 
-}  // namespace oatledge::program
+}  // namespace oatledge::http
--- a/src/program/streams.h
+++ b/src/http/streams.h
@@ -9,7 +9,7 @@
 #include "../transport/deadlines.h"
 #include "../transport/network.h"
 
-namespace oatledge::program {
+namespace oatledge::http {
 
 struct Streaming {              // there is one where the features file switches it on
   std::uint64_t most_body = 0;  // bytes
@@ -83,4 +83,4 @@
   transport::Time moved_{};
 };
 
-}  // namespace oatledge::program
+}  // namespace oatledge::http
--- a/src/program/log.cpp
+++ b/src/operations/log.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace oatledge::program {
+namespace oatledge::operations {
 namespace {
 
 constexpr transport::Duration kWindow{10'000};
@@ -31,4 +31,4 @@
 
 void Log::trace(const std::string& text) { sink_("trace: " + text); }
 
-}  // namespace oatledge::program
+}  // namespace oatledge::operations
--- a/src/program/log.h
+++ b/src/operations/log.h
@@ -9,7 +9,7 @@
 
 #include "../transport/clock.h"
 
-namespace oatledge::program {
+namespace oatledge::operations {
 
 class Log {
  public:
@@ -33,4 +33,4 @@
   std::map<std::string, Window> windows_;
 };
 
-}  // namespace oatledge::program
+}  // namespace oatledge::operations
--- a/src/program/app.h
+++ b/src/program/app.h
@@ -2,16 +2,24 @@
 #pragma once
 
 #include "../features/features.h"
+#include "../fleet/udp_peers.h"
+#include "../http/http_instances.h"
+#include "../http/http_names.h"
 #include "../operations/calls.h"
 #include "../operations/roster.h"
 #include "config.h"
-#include "http_instances.h"
-#include "http_names.h"
-#include "udp_peers.h"
 #include "wards.h"
 
 namespace oatledge::program {
 
+using fleet::UdpPeers;
+using http::HttpFront;
+using http::HttpInstances;
+using http::HttpNames;
+using http::Platform;
+using http::Streaming;
+using operations::Log;
+
 struct Shares {  // of the descriptors
   std::size_t accepted, connected, commands;
   std::size_t operators;  // of their callers; set aside where there is an address for them
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -8,11 +8,11 @@
 #include <fstream>
 #include <iterator>
 
+#include "../http/ops_front.h"
 #include "../settings/permits.h"
 #include "../transport/gio_network.h"
 #include "../transport/loop.h"
 #include "app.h"
-#include "ops_front.h"
 #include "upgrade.h"
 
 namespace {
@@ -63,7 +63,7 @@
   transport::SteadyClock clock;
   transport::Deadlines deadlines;
   transport::Loop loop(deadlines, clock);
-  program::Log log(clock);
+  operations::Log log(clock);
   // Only who has an operators' address can be asked whether it has taken over.
   std::string folder = environment("TMPDIR"),
               local = config.ops.empty() || folder.empty() ? "" : folder + kLocal;
@@ -104,12 +104,12 @@
   auto interrupt = on_signal(SIGINT, terminate, loop.context());
   auto hangup = on_signal(SIGHUP, reload, loop.context());
   if (trace) app.trace();
-  std::optional<program::UdpPeers> peers;
+  std::optional<fleet::UdpPeers> peers;
   auto talk = [&](transport::Descriptor bound) {
     if (config.peer_listen.empty() || peers) return;
     try {
       peers.emplace(loop.context(),
-                    program::UdpPeers::Options{config.peer_listen, config.peers, config.settings.index},
+                    fleet::UdpPeers::Options{config.peer_listen, config.peers, config.settings.index},
                     deadlines, clock, log, std::move(bound));
       app.talk_to(*peers);
     } catch (const std::runtime_error& e) {
@@ -117,7 +117,7 @@
     }
   };
   if (local.empty()) talk({});  // before the start: what it knows from the beginning is told
-  std::optional<program::OpsFront> ops;
+  std::optional<http::OpsFront> ops;
   if (operators) {
     ops.emplace(*operators, deadlines, clock, log, app);
     operators->listen(config.ops, *ops);
--- a/src/program/wards.h
+++ b/src/program/wards.h
@@ -4,12 +4,16 @@
 
 #include <map>
 
+#include "../http/http_front.h"
+#include "../http/http_instances.h"
 #include "handover.pb.h"
-#include "http_front.h"
-#include "http_instances.h"
 
 namespace oatledge::program {
 
+using http::HttpFront;
+using http::HttpInstances;
+using http::Platform;
+
 class Wards {
  public:
   Wards(HttpFront& front, HttpInstances& instances, Platform on);
--- a/src/simhost/host.h
+++ b/src/simhost/host.h
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "../gossip/loads.h"
+#include "../fleet/loads.h"
 #include "wire.h"
 
 namespace simhost {
@@ -51,7 +51,7 @@
   struct Instance {
     std::optional<stagehinge::Dispatcher> dispatcher;
     Columns columns;
-    std::optional<oatledge::gossip::Loads> loads;  // where dispatchers may talk
+    std::optional<oatledge::fleet::Loads> loads;  // where dispatchers may talk
     std::unordered_map<std::string, int> have;     // own jobs, by worker
     std::vector<std::string> listed;
   };
@@ -171,7 +171,7 @@
     host_->loads->list(names, changed(*host_->dispatcher));
   }
 
-  oatledge::gossip::Loads::Changed changed(stagehinge::Dispatcher& d) {
+  oatledge::fleet::Loads::Changed changed(stagehinge::Dispatcher& d) {
     return [this, &d](const std::string& worker, int jobs) { d.on_peers(now_, worker, jobs, actions_); };
   }
   void have(std::string_view worker, int more) {
--- a/tests/net/gossip_test.cpp
+++ b/tests/net/fleet_test.cpp
@@ -3,9 +3,9 @@
 #include <map>
 #include <set>
 
-#include "../../src/gossip/loads.h"
+#include "../../src/fleet/loads.h"
 
-using namespace oatledge::gossip;
+using namespace oatledge::fleet;
 
 namespace {
 
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -265,7 +265,7 @@
 TEST_CASE("a storm of one kind of line is counted, not written") {
   testing::ManualClock clock;
   std::vector<std::string> lines;
-  program::Log log(clock, [&](const std::string& line) { lines.push_back(line); });
+  operations::Log log(clock, [&](const std::string& line) { lines.push_back(line); });
   for (int i = 0; i < 50; ++i) log.line("client", "400: two\nlines");
   CHECK(lines.size() == 20);
   CHECK(lines[0] == "client: 400: two?lines");
--- a/tests/net/player.h
+++ b/tests/net/player.h
@@ -6,8 +6,8 @@
 #include <iterator>
 #include <sstream>
 
+#include "../../src/http/ops_front.h"
 #include "../../src/program/app.h"
-#include "../../src/program/ops_front.h"
 
 namespace oatledge::testing {
 
@@ -144,7 +144,8 @@
 
   program::Config read(program::Occasion occasion, const Json::Value& in_force = {}) {
     auto environment = [this](const char* variable) { return environment_[variable]; };
-    return program::read_config(config_json_.toStyledString(), environment, transport::Duration(0), occasion, in_force);
+    return program::read_config(config_json_.toStyledString(), environment, transport::Duration(0), occasion,
+                                in_force);
   }
 
   void start() {
@@ -153,7 +154,9 @@
     app_->start();
   }
 
-  void reload() try { app_->reload(read(program::Occasion::Reload, app_->in_force())); } catch (const std::runtime_error& e) {
+  void reload() try {
+    app_->reload(read(program::Occasion::Reload, app_->in_force()));
+  } catch (const std::runtime_error& e) {
     app_->reload_failed(e.what());
   }
 
@@ -254,11 +257,11 @@
   transport::Deadlines deadlines_;
   PlayedNetwork network_;
   std::string log_text_;
-  program::Log log_{clock_, [this](const std::string& line) { log_text_ += line + '\n'; }};
+  operations::Log log_{clock_, [this](const std::string& line) { log_text_ += line + '\n'; }};
   std::map<std::string, std::string> environment_;
   features::Features features_;
   std::optional<program::App> app_;
-  std::optional<program::OpsFront> operators_;
+  std::optional<http::OpsFront> operators_;
 };
 
 }  // namespace oatledge::testing
--- a/tests/net/sockets_test.cpp
+++ b/tests/net/sockets_test.cpp
@@ -3,7 +3,7 @@
 #include <unistd.h>
 #include <catch2/catch.hpp>
 
-#include "../../src/program/udp_peers.h"
+#include "../../src/fleet/udp_peers.h"
 #include "../../src/transport/gio_network.h"
 #include "../../src/transport/loop.h"
 
@@ -186,11 +186,11 @@
            std::to_string(20 + i) + ":47010";
   };
   std::string log_text;
-  oatledge::program::Log log(clock, [&](const std::string& line) { log_text += line + '\n'; });
-  oatledge::program::UdpPeers::Options options;
+  oatledge::operations::Log log(clock, [&](const std::string& line) { log_text += line + '\n'; });
+  oatledge::fleet::UdpPeers::Options options;
   options.listen = address(0);
   for (int i = 0; i < 24; ++i) options.peers.push_back(address(i));
-  oatledge::program::UdpPeers peers(loop.context(), options, deadlines, clock, log);
+  oatledge::fleet::UdpPeers peers(loop.context(), options, deadlines, clock, log);
   std::string got;
   auto count = [&](const std::string&, std::string_view bytes) { got += bytes; };
   Datagrams peer(loop.context(), address(1), count), stranger(loop.context(), address(30), count);
@@ -204,7 +204,7 @@
   while (!said("2 messages dropped, the latest of 512 bytes from " + address(1))) loop.turn();
   std::string instance;  // one that is near to both
   for (int i = 0; instance.empty(); ++i) {
-    auto near = oatledge::gossip::near_to("s-" + std::to_string(i), 24);
+    auto near = oatledge::fleet::near_to("s-" + std::to_string(i), 24);
     if (std::ranges::count(near, 0) && std::ranges::count(near, 1)) instance = "s-" + std::to_string(i);
   }
   peers.list({instance});
