Keep a view of the fleet: SWIM with digests, probes of the dead and local health

Need: dispatchers know a static list of peers and nothing of who is alive. src/fleet/view is pure (bytes and time in, bytes and events out); UdpPeers carries it beside the load messages, off unless the features file has fleet {}; GET /admin/fleet shows it. Seen while building: with a suspicion of log2 N + 1 periods and 3 log2 N tellings a start of 100 took over 32 s to agree (incarnations of all have to reach all at two datagrams a second); now log2 N tellings, up to ten datagrams of news a period while there are any, and digests for the rest.

--- a/src/features/features.cpp
+++ b/src/features/features.cpp
@@ -41,6 +41,8 @@
     {"longest_transfer_ms", 100, 86'400'000},
 };
 
+constexpr Range kFleet[] = {{"period_ms", 50, 60'000}, {"answer_ms", 10, 30'000}};
+
 template <std::size_t N>
 void check_ranges(const google::protobuf::Message& m, const Range (&ranges)[N],
                   const TextFormat::ParseInfoTree* where, Faults& faults) {
@@ -66,6 +68,15 @@
   }
 }
 
+void check_fleet(const Fleet& f, const TextFormat::ParseInfoTree* where, Faults& faults) {
+  check_ranges(f, kFleet, where, faults);
+  if (2 * std::uint64_t{f.answer_ms()} <= f.period_ms()) return;
+  auto at = where->GetLocation(
+      f.GetDescriptor()->FindFieldByName(f.has_answer_ms() ? "answer_ms" : "period_ms"), -1);
+  faults.AddError(at.line, at.column,
+                  "answer_ms is more than half of period_ms: the others could not try in time");
+}
+
 }  // namespace
 
 Features read_features(const std::string& text, const std::string& name) {
@@ -79,6 +90,9 @@
   if (parsed && all.has_streaming())
     check_streaming(all.streaming(),
                     where.GetTreeForNested(all.GetDescriptor()->FindFieldByName("streaming"), -1), faults);
+  if (parsed && all.has_fleet())
+    check_fleet(all.fleet(), where.GetTreeForNested(all.GetDescriptor()->FindFieldByName("fleet"), -1),
+                faults);
   if (!faults.text().empty()) throw BadFeatures(faults.text());
   if (!parsed) throw BadFeatures(name + ":1:1: this is no features file");
   return all;
--- a/src/fleet/udp_peers.h
+++ b/src/fleet/udp_peers.h
@@ -8,6 +8,7 @@
 #include "../routing/router.h"
 #include "../transport/datagrams.h"
 #include "loads.h"
+#include "view.h"
 
 namespace oatledge::fleet {
 
@@ -17,12 +18,15 @@
     std::string listen;
     std::vector<std::string> peers;  // by the dispatchers' numbers, to send to and to hear from
     int self = 0;                    // our own number
+    bool view = false;               // of the fleet, kept and told; the rest of it counts only then
+    std::uint32_t incarnation = 1;
+    Duration period{1000}, answer_in{300};
   };
   // Throws std::runtime_error where the address cannot be had. `bound`: the socket, where another process of
   // this dispatcher had it.
   UdpPeers(GMainContext* context, Options options, transport::Deadlines& deadlines,
            const transport::Clock& clock, operations::Log& log, transport::Descriptor bound = {});
-  ~UdpPeers() override { deadlines_.drop(sweep_); }
+  ~UdpPeers() override { deadlines_.drop(sweep_), deadlines_.drop(tick_); }
 
   void attach(routing::Router& router) { router_ = &router; }
   void list(
@@ -30,12 +34,17 @@
   void have(const std::string& instance, int jobs) override;
   // While another process of this dispatcher speaks for it, this one says and hears nothing.
   void speak(bool on);
+  void leave();  // says goodbye to the fleet's view
+  // {"self", "incarnation", "digest", "members": [{"member", "state", "incarnation", "for_ms",
+  // "round_trip_ms"}], "sent", "dropped", "doubt_in_self"}; empty where no view is kept.
+  std::string view_json() const;
   transport::Descriptor descriptor() const { return socket_.descriptor(); }
 
  private:
   transport::Datagrams::Received hears();
   void received(const std::string& from, std::string_view bytes);
   void sweep();
+  void tick();
   void heard(const std::string& instance, int jobs);
 
   Options options_;
@@ -44,11 +53,12 @@
   operations::Log& log_;
   routing::Router* router_ = nullptr;
   Loads loads_;
+  std::optional<View> view_;
   std::unordered_map<std::string, std::size_t> senders_;
   std::size_t dropped_ = 0;
   bool speaks_ = true;
   transport::Datagrams socket_;
-  transport::Deadlines::Handle sweep_;
+  transport::Deadlines::Handle sweep_, tick_;
 };
 
 }  // namespace oatledge::fleet
--- /dev/null
+++ b/src/fleet/view.cpp
@@ -0,0 +1,342 @@
+#include "view.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+namespace oatledge::fleet {
+namespace {
+
+constexpr unsigned char kVersion = 0x21;
+constexpr std::size_t kLongest = 256, kHead = 24, kEntry = 11, kCheck = 4;
+constexpr std::size_t kMostEntries = (kLongest - kHead - kCheck) / kEntry;
+constexpr std::size_t kMostMembers = 4096;  // a stranger cannot make the table grow without end
+constexpr int kMostDoubt = 8;               // in ourselves
+constexpr int kHelpers = 3;                 // asked to try where a probe had no answer
+constexpr int kDeadTurn = 4;                // every so many periods somebody held dead is probed
+constexpr std::size_t kFarewells = 8;
+constexpr int kNewsEach = 10;  // datagrams of news a period at the most, beside the probes
+enum Kind { kProbe = 1, kAnswer = 2, kProbeFor = 3, kNews = 4 };
+
+void put(std::string& out, std::uint64_t value, int bytes) {
+  for (int i = bytes - 1; i >= 0; --i) out += static_cast<char>(value >> (8 * i) & 0xff);
+}
+std::uint64_t get(std::string_view in, std::size_t at, int bytes) {
+  std::uint64_t value = 0;
+  for (int i = 0; i < bytes; ++i)
+    value = value << 8 | static_cast<unsigned char>(in[at + static_cast<std::size_t>(i)]);
+  return value;
+}
+void put(std::string& out, const Endpoint& e) { put(out, e.address, 4), put(out, e.port, 2); }
+Endpoint get_endpoint(std::string_view in, std::size_t at) {
+  return {static_cast<std::uint32_t>(get(in, at, 4)), static_cast<std::uint16_t>(get(in, at + 4, 2))};
+}
+
+std::uint64_t hash(const Endpoint& who, State state, std::uint32_t incarnation) {
+  std::string bytes;
+  put(bytes, who), put(bytes, static_cast<std::uint64_t>(state), 1), put(bytes, incarnation, 4);
+  return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+}  // namespace
+
+std::optional<Endpoint> parse_endpoint(std::string_view text) {
+  Endpoint e;
+  const char *at = text.data(), *end = at + text.size();
+  for (int part = 0; part < 5; ++part) {
+    unsigned value = 0;
+    auto [next, error] = std::from_chars(at, end, value);
+    if (error != std::errc() || value > (part < 4 ? 255U : 65535U)) return std::nullopt;
+    at = next;
+    if (part == 4) {
+      e.port = static_cast<std::uint16_t>(value);
+      break;
+    }
+    e.address = e.address << 8 | value;
+    if (at == end || *at++ != (part < 3 ? '.' : ':')) return std::nullopt;
+  }
+  if (at != end || e.port == 0) return std::nullopt;
+  return e;
+}
+
+std::string to_text(const Endpoint& e) {
+  std::string out;
+  for (int shift = 24; shift >= 0; shift -= 8)
+    out += std::to_string(e.address >> shift & 0xff) + (shift ? "." : ":");
+  return out + std::to_string(e.port);
+}
+
+const char* to_text(State state) {
+  switch (state) {
+    case State::Alive: return "alive";
+    case State::Suspect: return "suspect";
+    case State::Dead: return "dead";
+    case State::Left: return "left";
+  }
+  return "";
+}
+
+View::View(Options options, Time now, Send send, Changed changed)
+    : options_(std::move(options)),
+      send_(std::move(send)),
+      changed_(std::move(changed)),
+      random_(options_.seed) {
+  self_ = {State::Alive, options_.incarnation, now};
+  digest_ = hash(options_.self, State::Alive, self_.incarnation);
+  telling_[options_.self] = 0;
+  // Held alive with the least incarnation of all until heard: who is not there is found out like any other.
+  for (const Endpoint& other : options_.others)
+    if (other != options_.self) set(now, other, State::Alive, 0);
+  // Members that start together do not probe in step.
+  std::uniform_real_distribution<double> phase(0, 1);
+  begun_ = now - options_.period * phase(random_), ticked_ = now;
+}
+
+std::size_t View::count(State state) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(members_, [&](auto& m) { return m.second.state == state; }));
+}
+
+double View::log_size() const { return std::log2(static_cast<double>(members_.size()) + 2); }
+// Enough to reach nearly all; digests bring the rest.
+int View::times_told() const { return static_cast<int>(std::ceil(log_size())); }
+// As long as news of the suspicion, and the refutation after it, take to reach all; longer where answers have
+// lately not come to ourselves (Lifeguard).
+Duration View::suspicion() const { return options_.period * (log_size() / 2 + 1) * (1 + doubt_ / 2.0); }
+
+void View::tick(Time now) {
+  if (left_) return;
+  // Guards a member that was stopped and wakes: the silence was its own.
+  bool slept = now - ticked_ > options_.period;
+  ticked_ = now;
+  if (slept) {
+    doubt_ = std::min(kMostDoubt, doubt_ + 2);
+    probe_.reset();
+    for (auto& [who, at] : suspected_at_) at = now;
+    begun_ = now;
+    return period_begins(now);
+  }
+  Duration wait = options_.answer_in * (1 + doubt_ / 4.0);
+  if (probe_ && !probe_->answered && !probe_->others_asked && now - probe_->sent >= wait) {
+    probe_->others_asked = true;
+    std::vector<Endpoint> helpers;
+    for (const auto& [who, m] : members_)
+      if (m.state == State::Alive && who != probe_->to) helpers.push_back(who);
+    std::ranges::shuffle(helpers, random_);
+    helpers.resize(std::min<std::size_t>(helpers.size(), kHelpers));
+    say(probe_->to, kProbe, probe_->number, {});  // the first may have been lost
+    for (const Endpoint& helper : helpers) say(helper, kProbeFor, probe_->number, probe_->to);
+  }
+  for (auto it = suspected_at_.begin(); it != suspected_at_.end();) {
+    auto m = members_.find(it->first);
+    bool over = now - it->second >= suspicion();
+    if (over && m->second.state == State::Suspect) {
+      Endpoint who = it->first;
+      it = suspected_at_.erase(it);
+      set(now, who, State::Dead, m->second.incarnation);
+    } else {
+      it = m->second.state == State::Suspect ? std::next(it) : suspected_at_.erase(it);
+    }
+  }
+  // While there is something to tell, which each tells a few times only, it does not wait for the next probe.
+  if (!telling_.empty() && now - told_ >= options_.period / kNewsEach) {
+    told_ = now;
+    std::vector<Endpoint> alive;
+    for (const auto& [who, m] : members_)
+      if (m.state == State::Alive) alive.push_back(who);
+    if (!alive.empty()) say(alive[random_() % alive.size()], kNews, 0, {});
+  }
+  if (now - begun_ < options_.period) return;
+  begun_ += options_.period;
+  period_ends(now);
+  period_begins(now);
+}
+
+void View::period_ends(Time now) {
+  std::erase_if(relays_, [&](auto& r) { return now - r.second.sent > options_.period; });
+  if (!probe_) return;
+  Probe last = *std::exchange(probe_, std::nullopt);
+  if (last.answered) return;
+  doubt_ = std::min(kMostDoubt, doubt_ + 1);
+  auto m = members_.find(last.to);
+  if (m != members_.end() && m->second.state == State::Alive)
+    set(now, last.to, State::Suspect, m->second.incarnation);
+}
+
+void View::period_begins(Time now) {
+  std::optional<Endpoint> to = next_to_probe();
+  if (!to) return;
+  probe_ = Probe{*to, ++number_, now};
+  if (members_.at(*to).state == State::Dead) probe_->answered = true;  // no answer is no news
+  // What is said of it first of all, so that it can refute that.
+  if (members_.at(*to).state != State::Alive) telling_.try_emplace(*to, 0);
+  say(*to, kProbe, number_, {});
+}
+
+// Everybody once in a round, in an order of this member's own; in between, at a bounded rate, one that is
+// held dead: after a partition each side finds the other again by these.
+std::optional<Endpoint> View::next_to_probe() {
+  if (number_ % kDeadTurn == kDeadTurn - 1 || count(State::Alive) + count(State::Suspect) == 0) {
+    std::vector<Endpoint> dead;
+    for (const auto& [who, m] : members_)
+      if (m.state == State::Dead) dead.push_back(who);
+    if (!dead.empty()) return dead[random_() % dead.size()];
+  }
+  for (int rounds = 0; rounds < 2; ++rounds) {
+    while (!round_.empty()) {
+      Endpoint who = round_.back();
+      round_.pop_back();
+      auto m = members_.find(who);
+      if (m != members_.end() && (m->second.state == State::Alive || m->second.state == State::Suspect))
+        return who;
+    }
+    for (const auto& [who, m] : members_) round_.push_back(who);
+    std::ranges::shuffle(round_, random_);
+  }
+  return std::nullopt;
+}
+
+void View::set(Time now, const Endpoint& who, State state, std::uint32_t incarnation) {
+  auto [it, fresh] = members_.try_emplace(who);
+  Member& m = it->second;
+  if (!fresh) digest_ ^= hash(who, m.state, m.incarnation);
+  bool other = fresh || m.state != state;
+  if (other) m.since = now;
+  m.state = state, m.incarnation = incarnation;
+  digest_ ^= hash(who, state, incarnation);
+  telling_[who] = 0;
+  if (state == State::Suspect) suspected_at_.try_emplace(who, now);
+  else suspected_at_.erase(who);
+  if (other) changed_(who, state, incarnation);
+}
+
+// Of two pieces of news on one member the higher incarnation counts; of one incarnation the graver state. So
+// all that have heard the same hold the same, in whatever order it came.
+void View::hear(Time now, const Entry& news) {
+  if (news.who == options_.self) {
+    if (news.state != State::Alive && news.incarnation >= self_.incarnation) refute(now, news.incarnation);
+    else if (news.incarnation > self_.incarnation) refute(now, news.incarnation);
+    return;
+  }
+  auto it = members_.find(news.who);
+  if (it == members_.end()) {
+    if (members_.size() < kMostMembers) set(now, news.who, news.state, news.incarnation);
+    return;
+  }
+  const Member& m = it->second;
+  if (news.incarnation < m.incarnation || (news.incarnation == m.incarnation && news.state <= m.state))
+    return;
+  set(now, news.who, news.state, news.incarnation);
+}
+
+void View::refute(Time now, std::uint32_t above) {
+  digest_ ^= hash(options_.self, State::Alive, self_.incarnation);
+  self_.incarnation = above + 1, self_.since = now;
+  digest_ ^= hash(options_.self, State::Alive, self_.incarnation);
+  telling_[options_.self] = 0;
+}
+
+bool View::take(Time now, const Endpoint& from, std::string_view bytes) {
+  auto bad = [&] { return ++dropped_, false; };
+  if (bytes.size() < kHead + kCheck || bytes.size() > kLongest ||
+      (bytes.size() - kHead - kCheck) % kEntry != 0)
+    return bad();
+  std::size_t body = bytes.size() - kCheck;
+  if (static_cast<unsigned char>(bytes[0]) != kVersion || get(bytes, body, 4) != XXH32(bytes.data(), body, 0))
+    return bad();
+  auto kind = static_cast<int>(get(bytes, 1, 1));
+  if (kind < kProbe || kind > kNews || from == options_.self) return bad();
+  std::vector<Entry> entries;
+  for (std::size_t at = kHead; at < body; at += kEntry) {
+    auto state = get(bytes, at + 6, 1);
+    if (state < 1 || state > 4) return bad();
+    entries.push_back({get_endpoint(bytes, at), static_cast<State>(state),
+                       static_cast<std::uint32_t>(get(bytes, at + 7, 4))});
+  }
+  if (left_) return true;
+  auto number = static_cast<std::uint32_t>(get(bytes, 2, 4)),
+       incarnation = static_cast<std::uint32_t>(get(bytes, 6, 4));
+  std::uint64_t digest = get(bytes, 10, 8);
+  Endpoint target = get_endpoint(bytes, 18);
+  bool leaves =
+      std::ranges::any_of(entries, [&](const Entry& e) { return e.who == from && e.state == State::Left; });
+  if (!leaves) hear(now, {from, State::Alive, incarnation});
+  for (const Entry& e : entries) hear(now, e);
+  differs_ = digest != digest_;
+  // Who is held dead or suspect with this very incarnation is told so, to refute it.
+  if (auto m = members_.find(from); m != members_.end() && m->second.state != State::Alive && !leaves)
+    telling_[from] = 0;
+  if (kind == kProbe) say(from, kAnswer, number, options_.self);
+  if (kind == kProbeFor) {
+    relays_[++number_] = {from, target, number, now};
+    if (members_.contains(target)) say(target, kProbe, number_, {});
+  }
+  if (kind == kAnswer) {
+    if (auto r = relays_.find(number); r != relays_.end() && r->second.target == from) {
+      say(r->second.asker, kAnswer, r->second.number, from);
+      relays_.erase(r);
+    }
+    if (probe_ && probe_->number == number && target == probe_->to) {
+      if (from == probe_->to) members_.at(from).round_trip = (now - probe_->sent).count();
+      if (!probe_->answered) doubt_ = std::max(0, doubt_ - 1);
+      probe_->answered = true;
+    }
+  }
+  return true;
+}
+
+// What has been told least comes first, of the receiver itself before all else; where digests differ though
+// nothing is new, the rest of the table goes with it in turns.
+std::vector<View::Entry> View::news_for(const Endpoint& to) {
+  std::vector<std::pair<int, Endpoint>> order;
+  for (const auto& [who, times] : telling_) order.emplace_back(who == to ? -1 : times, who);
+  std::ranges::shuffle(order, random_);
+  std::ranges::stable_sort(order, {}, &std::pair<int, Endpoint>::first);
+  order.resize(std::min(order.size(), kMostEntries));
+  std::vector<Entry> out;
+  auto add = [&](const Endpoint& who) {
+    if (who == options_.self) out.push_back({who, left_ ? State::Left : State::Alive, self_.incarnation});
+    else if (auto m = members_.find(who); m != members_.end())
+      out.push_back({who, m->second.state, m->second.incarnation});
+  };
+  for (const auto& [times, who] : order) {
+    add(who);
+    if (++telling_[who] >= times_told()) telling_.erase(who);
+  }
+  if (!differs_ || members_.empty()) return out;
+  for (std::size_t i = 0; i < members_.size() && out.size() < kMostEntries; ++i) {
+    auto next = members_.upper_bound(catch_up_);
+    if (next == members_.end()) next = members_.begin();
+    catch_up_ = next->first;
+    if (std::ranges::none_of(out, [&](const Entry& e) { return e.who == catch_up_; })) add(catch_up_);
+  }
+  return out;
+}
+
+void View::say(const Endpoint& to, int kind, std::uint32_t number, const Endpoint& target) {
+  std::string out;
+  out += static_cast<char>(kVersion);
+  put(out, static_cast<std::uint64_t>(kind), 1), put(out, number, 4), put(out, self_.incarnation, 4);
+  put(out, digest_, 8), put(out, target);
+  for (const Entry& e : news_for(to))
+    put(out, e.who), put(out, static_cast<std::uint64_t>(e.state), 1), put(out, e.incarnation, 4);
+  put(out, XXH32(out.data(), out.size(), 0), 4);
+  ++sent_;
+  send_(to, out);
+}
+
+void View::leave(Time) {
+  if (std::exchange(left_, true)) return;
+  std::vector<Endpoint> to;
+  for (const auto& [who, m] : members_)
+    if (m.state == State::Alive) to.push_back(who);
+  std::ranges::shuffle(to, random_);
+  to.resize(std::min(to.size(), kFarewells));
+  for (const Endpoint& who : to) telling_[options_.self] = 0, say(who, kNews, 0, {});
+}
+
+}  // namespace oatledge::fleet
--- /dev/null
+++ b/src/fleet/view.h
@@ -0,0 +1,128 @@
+// Who of the fleet is there, as this member holds it: SWIM with local health, digests, and probes of the
+// dead. Pure: bytes and time in, bytes and events out. Hearsay, for people and for saving messages; no
+// decision on orders rests on it. docs/design/fleet-view.md has the ways that were weighed.
+//
+// A datagram, at most 256 bytes, integers with the highest byte first:
+//   0x20 + version 1   1 byte   apart from the load messages, whose first byte is 0x10 to 0x1f
+//   kind               1 byte   1 probe, 2 answer, 3 probe for another, 4 news alone
+//   number             4 bytes  of the probe that is sent or answered
+//   incarnation        4 bytes  of the sender
+//   digest             8 bytes  of the sender's view
+//   target             6 bytes  kind 3: who is to be probed; else of whom an answer is, or zeros
+//   entries           11 bytes each: address 4, port 2, state 1, incarnation 4
+//   check              4 bytes  of all before it: guards against bytes spoilt on the way, not against malice
+#pragma once
+
+#include <stagehinge/dispatcher.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace oatledge::fleet {
+
+using stagehinge::Duration;
+using stagehinge::Time;
+
+struct Endpoint {  // an IPv4 address and port, host order
+  std::uint32_t address = 0;
+  std::uint16_t port = 0;
+  auto operator<=>(const Endpoint&) const = default;
+};
+std::optional<Endpoint> parse_endpoint(std::string_view text);  // "127.0.0.1:7000"
+std::string to_text(const Endpoint& endpoint);
+
+enum class State : std::uint8_t { Alive = 1, Suspect = 2, Dead = 3, Left = 4 };
+const char* to_text(State state);
+
+struct Member {
+  State state = State::Alive;
+  std::uint32_t incarnation = 0;
+  Time since{};            // of this state
+  double round_trip = -1;  // ms; below 0: none was measured
+};
+
+class View {
+ public:
+  struct Options {
+    Endpoint self;
+    std::vector<Endpoint> others;   // known from the start: all, or a few that know more
+    std::uint32_t incarnation = 1;  // higher than at the last start
+    std::uint64_t seed = 0;
+    Duration period{1000};    // one probe in each; tick() at least ten times in it
+    Duration answer_in{300};  // before others are asked to try
+  };
+  using Send = std::function<void(const Endpoint& to, const std::string& bytes)>;
+  using Changed = std::function<void(const Endpoint& member, State state, std::uint32_t incarnation)>;
+
+  View(Options options, Time now, Send send, Changed changed);
+
+  void tick(Time now);
+  // False: not a message of this kind, and nothing of it counts.
+  bool take(Time now, const Endpoint& from, std::string_view bytes);
+  void leave(Time now);  // the last that is said
+
+  std::uint64_t digest() const { return digest_; }
+  std::uint32_t incarnation() const { return self_.incarnation; }
+  const Endpoint& self() const { return options_.self; }
+  const std::map<Endpoint, Member>& members() const { return members_; }  // the others
+  std::size_t count(State state) const;                                   // of the others
+  std::uint64_t sent() const { return sent_; }
+  std::uint64_t dropped() const { return dropped_; }
+  int doubt_in_self() const { return doubt_; }
+
+ private:
+  struct Entry {
+    Endpoint who;
+    State state;
+    std::uint32_t incarnation;
+  };
+  struct Probe {  // the one of this period
+    Endpoint to;
+    std::uint32_t number = 0;
+    Time sent{};
+    bool answered = false, others_asked = false;
+  };
+  struct Relay {  // a probe made for somebody else
+    Endpoint asker, target;
+    std::uint32_t number;
+    Time sent;
+  };
+
+  void period_begins(Time now);
+  void period_ends(Time now);
+  std::optional<Endpoint> next_to_probe();
+  void hear(Time now, const Entry& news);
+  void set(Time now, const Endpoint& who, State state, std::uint32_t incarnation);
+  void refute(Time now, std::uint32_t above);
+  void say(const Endpoint& to, int kind, std::uint32_t number, const Endpoint& target);
+  std::vector<Entry> news_for(const Endpoint& to);
+  Duration suspicion() const;
+  int times_told() const;  // each piece of news
+  double log_size() const;
+
+  Options options_;
+  Send send_;
+  Changed changed_;
+  std::mt19937_64 random_;
+  Member self_;
+  std::map<Endpoint, Member> members_;
+  std::map<Endpoint, int> telling_;        // how often the latest of whom has been told
+  std::map<Endpoint, Time> suspected_at_;  // by our own account
+  std::vector<Endpoint> round_;            // who is to be probed, in this round's order
+  std::optional<Probe> probe_;
+  std::map<std::uint32_t, Relay> relays_;  // by our own number
+  Endpoint catch_up_{};                    // entries up to here have been told to those whose digest differs
+  std::uint32_t number_ = 0;
+  std::uint64_t digest_ = 0, sent_ = 0, dropped_ = 0;
+  Time begun_{}, ticked_{}, told_{};
+  int doubt_ = 0;  // in ourselves: answers that did not come in time, less those that did
+  bool differs_ = false, left_ = false;
+};
+
+}  // namespace oatledge::fleet
--- a/src/operations/calls.cpp
+++ b/src/operations/calls.cpp
@@ -54,8 +54,10 @@
 Answer answer_call(const protocol::Message& call, Desk& desk) try {
   std::string path = call.target.substr(0, call.target.find('?'));
   bool health = path == "/admin/health", stats = path == "/admin/stats", back = path == "/admin/uncordon";
-  if (!health && !stats && !back && path != "/admin/cordon") return {404, "no such call"};
-  if (call.method != (health || stats ? "GET" : "POST")) return {405, "wrong method"};
+  std::string view = path == "/admin/fleet" ? desk.fleet() : "";
+  if (!health && !stats && !back && view.empty() && path != "/admin/cordon") return {404, "no such call"};
+  if (call.method != (health || stats || !view.empty() ? "GET" : "POST")) return {405, "wrong method"};
+  if (!view.empty()) return {200, view};
   if (health) return desk.healthy() ? Answer{200, "ready"} : Answer{503, "not ready"};
   if (stats) return {200, desk.stats()};
   std::string id = query_value(call.target, "id");
--- a/src/operations/calls.h
+++ b/src/operations/calls.h
@@ -16,6 +16,7 @@
   virtual std::string stats() = 0;                       // lines of name=value
   virtual bool cordon(const std::string& instance) = 0;  // false: no such instance is known
   virtual bool uncordon(const std::string& instance) = 0;
+  virtual std::string fleet() const { return {}; }  // this member's view, as JSON; empty: it keeps none
 };
 
 struct Answer {
--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -212,6 +212,7 @@
   terminated_ = clock_.now();
   log_.line("stop", "asked to end; " + std::to_string(router_.open_commands()) + " commands are open");
   front_.start_draining();
+  if (peers_) peers_->leave();
   drain();
 }
 
--- a/src/program/app.h
+++ b/src/program/app.h
@@ -64,6 +64,7 @@
   std::string stats() override;
   bool cordon(const std::string& instance) override;
   bool uncordon(const std::string& instance) override;
+  std::string fleet() const override { return peers_ ? peers_->view_json() : std::string(); }
   bool finished() const { return finished_; }  // after terminate(): all that was taken is answered
 
  private:
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -39,6 +39,13 @@
   return steady - transport::Duration(std::chrono::system_clock::now().time_since_epoch());
 }
 
+// Higher at each start, without a disk; a clock that was put back costs one refutation.
+std::uint32_t seconds_of_now() {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
 // `tell` must outlive the source.
 transport::SourcePtr on_signal(int number, std::function<void()>& tell, GMainContext* context) {
   transport::SourcePtr source(g_unix_signal_source_new(number));
@@ -108,9 +115,12 @@
   auto talk = [&](transport::Descriptor bound) {
     if (config.peer_listen.empty() || peers) return;
     try {
-      peers.emplace(loop.context(),
-                    fleet::UdpPeers::Options{config.peer_listen, config.peers, config.settings.index},
-                    deadlines, clock, log, std::move(bound));
+      fleet::UdpPeers::Options options{config.peer_listen, config.peers, config.settings.index};
+      options.view = features.has_fleet();
+      options.incarnation = seconds_of_now();
+      options.period = transport::Duration(features.fleet().period_ms());
+      options.answer_in = transport::Duration(features.fleet().answer_ms());
+      peers.emplace(loop.context(), std::move(options), deadlines, clock, log, std::move(bound));
       app.talk_to(*peers);
     } catch (const std::runtime_error& e) {
       log.line("peers", std::string("serves on without news of the others: ") + e.what());
