--- a/lab/standins.cpp
+++ b/lab/standins.cpp
@@ -532,6 +532,14 @@
   return setup_.host + ":" + std::to_string(ntohs(a.sin_port));
 }
 
+namespace {
+void lay_over(Json::Value& under, const Json::Value& over) {
+  for (const std::string& name : over.getMemberNames())
+    if (over[name].isObject() && under[name].isObject()) lay_over(under[name], over[name]);
+    else under[name] = over[name];
+}
+}  // namespace
+
 Dispatcher::Dispatcher(const Setup& s, Fleet& fleet) : setup_(s) {
   char pattern[] = "/tmp/oatledge-lab-XXXXXX";
   folder_ = mkdtemp(pattern);
@@ -542,6 +550,11 @@
   std::ifstream(s.config) >> config;
   config["listen"] = address_, config["discovery"] = fleet.discovery();
   config["limits"]["sockets"] = s.sockets;
+  if (!s.more.empty()) {
+    Json::Value more;
+    std::istringstream(s.more) >> more;
+    lay_over(config, more);
+  }
   std::ofstream(folder_ + "/config.json") << config;
   std::ofstream(folder_ + "/features.textproto") << s.features;
   start(true);
@@ -601,6 +614,12 @@
   }
 }
 
+void Dispatcher::crash() {
+  kill(pid_, SIGKILL);
+  waitpid(pid_, nullptr, 0);
+  pid_ = -1;
+}
+
 void Dispatcher::kill_now() {
   kill(pid_, SIGKILL);
   waitpid(pid_, nullptr, 0);
--- a/lab/standins.h
+++ b/lab/standins.h
@@ -133,6 +133,7 @@
     std::string program, config, features, host;  // config: a file; features: a text, empty: none
     int sockets = 4096;
     bool operators = false;  // with an address for them, and a $TMPDIR
+    std::string more{};      // JSON that goes over the configuration, object by object
   };
   Dispatcher(const Setup& setup, Fleet& fleet);
   ~Dispatcher();  // ends it
@@ -146,7 +147,9 @@
   // A second process beside it, with an operators' address of its own; this one becomes the old one. What is
   // asked of a Dispatcher goes to the new one from then on. False: it ended by itself.
   bool start_beside();
-  int end_old();    // SIGTERM; its exit code
+  int end_old();  // SIGTERM; its exit code
+  void crash();   // SIGKILL, and nothing after it
+  void start_again() { start(true); }
   void kill_now();  // SIGKILL to the newest, and the old one, if there is one, is the one again
   const std::string& old_operators() const { return old_operators_; }
   std::string log() const;
--- /dev/null
+++ b/src/program/commands.h
@@ -0,0 +1,14 @@
+// What the program does beside serving: each prints to standard output and comes back.
+#pragma once
+
+#include "config.h"
+
+namespace oatledge::program {
+
+// A table of what a configuration permits; what in it contradicts itself goes to standard error.
+void show_permits(const Config& config);
+
+// The fleet as the dispatcher with this operators' address holds it. Throws std::runtime_error with one line.
+void show_fleet(const std::string& operators, bool json);
+
+}  // namespace oatledge::program
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -9,10 +9,10 @@
 #include <iterator>
 
 #include "../http/ops_front.h"
-#include "../settings/permits.h"
 #include "../transport/gio_network.h"
 #include "../transport/loop.h"
 #include "app.h"
+#include "commands.h"
 #include "upgrade.h"
 
 namespace {
@@ -148,16 +148,6 @@
   log.line("stop", "ended");
 }
 
-// What a configuration permits, to standard output; what in it contradicts itself, to standard error.
-void show(const std::string& path) {
-  program::Config c = program::read_config(read_file(path), environment, transport::Duration(0));
-  settings::Place place{c.sockets,      c.memory_mb, c.may_talk, !c.peer_listen.empty(),
-                        c.peers.size(), c.most_open};
-  std::fputs(settings::describe(c.settings, place).c_str(), stdout);
-  for (const std::string& warning : settings::contradictions(c.settings, place))
-    std::fprintf(stderr, "warning: %s\n", warning.c_str());
-}
-
 }  // namespace
 
 int main(int argc, char** argv) try {
@@ -175,6 +165,11 @@
   files->add_option("--features", path, "a features file")->type_name("FILE");
   files->add_option("--config", config_path, "a configuration, as ROUTER_CONFIG names")->type_name("FILE");
   files->require_option(1, 2);
+  std::string ops;
+  bool json = false;
+  CLI::App* fleet = line.add_subcommand("fleet", "print who of the fleet a dispatcher holds to be there");
+  fleet->add_option("--ops", ops, "its operators' address")->type_name("ADDRESS")->required();
+  fleet->add_flag("--json", json, "as it gives it");
   CLI11_PARSE(line, argc, argv);
   features::Features features;
   if (!path.empty()) try {
@@ -183,8 +178,10 @@
       std::fprintf(stderr, "%s\n", e.what());
       return 1;
     }
-  if (!config_path.empty()) show(config_path);
-  if (!check->parsed()) run(features, trace);
+  if (!config_path.empty())
+    program::show_permits(program::read_config(read_file(config_path), environment, transport::Duration(0)));
+  if (fleet->parsed()) program::show_fleet(ops, json);
+  if (!check->parsed() && !fleet->parsed()) run(features, trace);
   return 0;
 } catch (const std::exception& e) {
   std::fprintf(stderr, "oatledge: %s\n", e.what());
