Hand the fleet's view over in an upgrade, whose two processes are one member

Seen: the old process of an upgrade said goodbye at its SIGTERM though the new one serves on under the same address: all seven others logged 'is left' (UdpPeers::leave() spoke while speak(false)). Incarnation and members go over with Yours; who does not speak does not leave. The new case fails on the text before (7 of 66 checks).

--- a/src/fleet/udp_peers.cpp
+++ b/src/fleet/udp_peers.cpp
@@ -24,6 +24,7 @@
   if (!options_.view) return;
   View::Options view;
   view.incarnation = options_.incarnation, view.seed = options_.incarnation;
+  view.known = options_.known;
   view.period = options_.period, view.answer_in = options_.answer_in;
   for (std::size_t i = 0; i < options_.peers.size(); ++i) {
     auto address = parse_endpoint(options_.peers[i]);
@@ -49,7 +50,7 @@
 }
 
 void UdpPeers::leave() {
-  if (view_) view_->leave(clock_.now());
+  if (view_ && speaks_) view_->leave(clock_.now());  // not where another process of this member serves on
 }
 
 std::string UdpPeers::view_json() const {
--- a/src/fleet/udp_peers.h
+++ b/src/fleet/udp_peers.h
@@ -20,6 +20,7 @@
     int self = 0;                    // our own number
     bool view = false;               // of the fleet, kept and told; the rest of it counts only then
     std::uint32_t incarnation = 1;
+    std::vector<View::Entry> known;  // from the process that had the socket
     Duration period{1000}, answer_in{300};
   };
   // Throws std::runtime_error where the address cannot be had. `bound`: the socket, where another process of
@@ -35,6 +36,7 @@
   // While another process of this dispatcher speaks for it, this one says and hears nothing.
   void speak(bool on);
   void leave();  // says goodbye to the fleet's view
+  const View* view() const { return view_ ? &*view_ : nullptr; }
   // {"self", "incarnation", "digest", "members": [{"member", "state", "incarnation", "for_ms",
   // "round_trip_ms"}], "sent", "dropped", "doubt_in_self"}; empty where no view is kept.
   std::string view_json() const;
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -91,6 +91,7 @@
   // Held alive with the least incarnation of all until heard: who is not there is found out like any other.
   for (const Endpoint& other : options_.others)
     if (other != options_.self) set(now, other, State::Alive, 0);
+  for (const Entry& known : options_.known) hear(now, known);
   // Members that start together do not probe in step.
   std::uniform_real_distribution<double> phase(0, 1);
   begun_ = now - options_.period * phase(random_), ticked_ = now;
--- a/src/fleet/view.h
+++ b/src/fleet/view.h
@@ -49,10 +49,16 @@
 
 class View {
  public:
+  struct Entry {
+    Endpoint who;
+    State state = State::Alive;
+    std::uint32_t incarnation = 0;
+  };
   struct Options {
     Endpoint self;
     std::vector<Endpoint> others;   // known from the start: all, or a few that know more
     std::uint32_t incarnation = 1;  // higher than at the last start
+    std::vector<Entry> known;       // by another process of this very member, that it takes over from
     std::uint64_t seed = 0;
     Duration period{1000};    // one probe in each; tick() at least ten times in it
     Duration answer_in{300};  // before others are asked to try
@@ -77,11 +83,6 @@
   int doubt_in_self() const { return doubt_; }
 
  private:
-  struct Entry {
-    Endpoint who;
-    State state;
-    std::uint32_t incarnation;
-  };
   struct Probe {  // the one of this period
     Endpoint to;
     std::uint32_t number = 0;
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -112,15 +112,17 @@
   auto hangup = on_signal(SIGHUP, reload, loop.context());
   if (trace) app.trace();
   std::optional<fleet::UdpPeers> peers;
-  auto talk = [&](transport::Descriptor bound) {
+  auto talk = [&](program::Inherited from) {
     if (config.peer_listen.empty() || peers) return;
     try {
-      fleet::UdpPeers::Options options{config.peer_listen, config.peers, config.settings.index};
+      fleet::UdpPeers::Options options;
+      options.listen = config.peer_listen, options.peers = config.peers, options.self = config.settings.index;
       options.view = features.has_fleet();
-      options.incarnation = seconds_of_now();
+      options.incarnation = from.incarnation ? from.incarnation : seconds_of_now();
+      options.known = std::move(from.known);
       options.period = transport::Duration(features.fleet().period_ms());
       options.answer_in = transport::Duration(features.fleet().answer_ms());
-      peers.emplace(loop.context(), std::move(options), deadlines, clock, log, std::move(bound));
+      peers.emplace(loop.context(), std::move(options), deadlines, clock, log, std::move(from.socket));
       app.talk_to(*peers);
     } catch (const std::runtime_error& e) {
       log.line("peers", std::string("serves on without news of the others: ") + e.what());
--- a/src/program/upgrade.cpp
+++ b/src/program/upgrade.cpp
@@ -182,7 +182,7 @@
   if (!network_.listener()) network_.listen(options_.self.listen, app_.acceptor(), true);
   network_.accept_from_now_on(true);
   app_.serve(true);
-  options_.talk(std::move(datagrams_));
+  options_.talk(std::move(inherited_));
   if (!old_ || !old_->up()) old_is_gone();
   be_found();
 }
@@ -199,7 +199,11 @@
 
 // Guards cold instances: what the old process has sent there counts for one fall span, and is not known here.
 void Upgrade::take_yours(const handover::Yours& yours, Packet packet) {
-  if (!packet.descriptors.empty()) datagrams_ = std::move(packet.descriptors[0]);
+  if (!packet.descriptors.empty()) inherited_.socket = std::move(packet.descriptors[0]);
+  inherited_.incarnation = yours.incarnation();
+  for (const handover::FleetMember& f : yours.members())
+    if (auto who = fleet::parse_endpoint(f.address()); who && f.state() >= 1 && f.state() <= 4)
+      inherited_.known.push_back({*who, static_cast<fleet::State>(f.state()), f.incarnation()});
   Heir::Do what = heir_.yours();
   if (what != Heir::Do::Serve) return act(what);
   app_.router().elsewhere({yours.ids().begin(), yours.ids().end()});
@@ -324,6 +328,14 @@
   put_by_hand(app_.roster(), *y.mutable_by_hand());
   std::vector<transport::Descriptor> datagrams;
   if (app_.peers()) app_.peers()->speak(false), datagrams.push_back(app_.peers()->descriptor());
+  if (const fleet::View* view = app_.peers() ? app_.peers()->view() : nullptr) {
+    y.set_incarnation(view->incarnation());
+    for (const auto& [who, member] : view->members()) {
+      handover::FleetMember& f = *y.add_members();
+      f.set_address(to_text(who)), f.set_state(static_cast<std::uint32_t>(member.state));
+      f.set_incarnation(member.incarnation);
+    }
+  }
   tell(new_, m, std::move(datagrams));
   if (options_.budget_window.count() > 0) app_.limit_budget(App::Budget::None);
   app_.on_last_call([this](routing::CommandRef ref) { give(ref); });
--- a/src/program/upgrade.h
+++ b/src/program/upgrade.h
@@ -15,6 +15,14 @@
 
 namespace oatledge::program {
 
+// What one process of a dispatcher has from the other for its talk with the rest of the fleet; nothing in it
+// where there was none.
+struct Inherited {
+  transport::Descriptor socket;
+  std::uint32_t incarnation = 0;
+  std::vector<fleet::View::Entry> known;
+};
+
 class Upgrade {
  public:
   struct Found {  // a process that was here before
@@ -35,7 +43,7 @@
     transport::Duration fall_span{0}, ramp{0};  // of cold instances
     transport::Duration budget_window{0};       // of the retry budget; 0: there is none
     // Speaks with the other dispatchers from now on; with the other process's socket, where it had one.
-    std::function<void(transport::Descriptor)> talk;
+    std::function<void(Inherited)> talk;
   };
   Upgrade(GMainContext* context, Options options, App& app, transport::GioNetwork& network,
           transport::Deadlines& deadlines, const transport::Clock& clock, Log& log);
@@ -86,8 +94,8 @@
   handover::Heir heir_;
   handover::Elder elder_;
   Link old_, new_;
-  transport::Descriptor listener_;   // of the old one, until we take from it
-  transport::Descriptor datagrams_;  // likewise
+  transport::Descriptor listener_;  // of the old one, until we take from it
+  Inherited inherited_;             // likewise
   std::unique_ptr<transport::LocalListener> found_here_;
   std::map<std::uint64_t, Waiting> asked_;
   std::uint64_t asked_last_ = 0;
--- a/tests/net/fleet_process_test.cpp
+++ b/tests/net/fleet_process_test.cpp
@@ -208,6 +208,21 @@
   f.all_answered();
 }
 
+TEST_CASE("the two processes of an upgrade are one member, which never leaves") {
+  ProcessFleet f;
+  f.start_all();
+  f.settles();
+  f.orders_begin({0, 1});
+  Json::Value before = f.view(5);
+  REQUIRE(f.member(5).start_beside());
+  f.settles();
+  CHECK(f.view(5)["digest"] == before["digest"]);  // what was known went over
+  CHECK(f.member(5).end_old() == 0);
+  f.settles();
+  for (int i = 0; i < kMembers; ++i) CHECK(f.member(i).log().find("is left") == std::string::npos);
+  f.all_answered();
+}
+
 TEST_CASE("one that is stopped and wakes refutes its death") {
   ProcessFleet f;
   f.start_all();
--- a/tests/net/view_test.cpp
+++ b/tests/net/view_test.cpp
@@ -198,8 +198,9 @@
   o.self = at(0), o.others = {at(1)};
   View view(o, Time{}, send, [](const Endpoint&, State, std::uint32_t) {});
   for (int i = 1; sent.empty(); ++i) view.tick(Time(Duration(50 * i)));
-  View other({.self = at(1), .others = {at(0)}, .incarnation = 1, .seed = 0}, Time{}, send,
-             [](const Endpoint&, State, std::uint32_t) {});
+  View::Options theirs;
+  theirs.self = at(1), theirs.others = {at(0)};
+  View other(theirs, Time{}, send, [](const Endpoint&, State, std::uint32_t) {});
   std::string good = sent[0];
   CHECK(other.take(Time{}, at(0), good));
   std::uint64_t before = other.digest();
