--- /dev/null
+++ b/lab/main.cpp
@@ -0,0 +1,224 @@
+// oatledge-lab: plays a scenario on processes of the program and judges it from outside.
+#include <google/protobuf/text_format.h>
+#include <json/writer.h>
+
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+#include "../src/settings/faults.h"
+#include "process_fleet.h"
+#include "scenario.pb.h"
+
+namespace {
+
+using namespace oatledge::lab;
+using google::protobuf::TextFormat;
+
+double now_s() {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+[[noreturn]] void bad(const std::string& path, const TextFormat::ParseLocation& at, const std::string& what) {
+  oatledge::settings::Faults faults(path);
+  faults.AddError(at.line, at.column, what);
+  throw std::invalid_argument(faults.text());
+}
+
+std::vector<int> members(const Members& m) {
+  std::vector<int> out(m.member().begin(), m.member().end());
+  if (m.has_first())
+    for (std::uint32_t i = m.first(); i <= m.last(); ++i) out.push_back(static_cast<int>(i));
+  return out;
+}
+
+// Members that there are not, and shares over 1, must not be found in the middle of a run.
+Scenario read(const std::string& path, std::uint32_t dispatchers) {
+  std::ifstream in(path, std::ios::binary);
+  std::string text{std::istreambuf_iterator<char>(in), {}};
+  if (!in) throw std::invalid_argument(path + ":1:1: cannot be read");
+  oatledge::settings::Faults faults(path);
+  TextFormat::ParseInfoTree where;
+  TextFormat::Parser parser;
+  parser.RecordErrorsTo(&faults);
+  parser.WriteLocationsTo(&where);
+  Scenario s;
+  if (!parser.ParseFromString(text, &s)) throw std::invalid_argument(faults.text());
+  if (dispatchers) s.set_dispatchers(dispatchers);
+  if (s.dispatchers() < 2 || s.dispatchers() > 300)
+    throw std::invalid_argument(path + ":1:1: dispatchers must be from 2 to 300");
+  if (s.workers() < 1 || s.workers() > 50)
+    throw std::invalid_argument(path + ":1:1: workers must be from 1 to 50");
+  const auto* field = Scenario::descriptor()->FindFieldByName("step");
+  for (int i = 0; i < s.step_size(); ++i) {
+    auto at = where.GetLocation(field, i);
+    const Step& step = s.step(i);
+    std::vector<Members> all(step.split().group().begin(), step.split().group().end());
+    all.insert(all.end(), {step.start(), step.crash(), step.stop(), step.wake(), step.end()});
+    for (const Members& m : all) {
+      if (m.has_first() != m.has_last() || m.first() > m.last() || m.last() >= s.dispatchers())
+        bad(path, at, "first and last must name a range of members");
+      for (int one : members(m))
+        if (one >= static_cast<int>(s.dispatchers()))
+          bad(path, at, "there is no member " + std::to_string(one));
+    }
+    const Path& p = step.path();
+    if (p.from() >= s.dispatchers() || p.to() >= s.dispatchers()) bad(path, at, "there is no such member");
+    for (double share : {p.loss(), p.twice(), p.spoilt()})
+      if (!(share >= 0 && share <= 1)) bad(path, at, "a share must be from 0 to 1");
+    for (double ms : {p.delay_ms(), p.jitter_ms(), static_cast<double>(step.pass_ms())})
+      if (!(ms >= 0 && ms <= 600'000)) bad(path, at, "a time must be from 0 to 600000 ms");
+    if (step.what_case() == Step::WHAT_NOT_SET) bad(path, at, "a step that does nothing");
+  }
+  return s;
+}
+
+class Run {
+ public:
+  Run(const Scenario& s, ProcessFleet::Setup setup) : scenario_(s), fleet_(std::move(setup)) {}
+
+  bool play(const std::string& report) {
+    begun_ = now_s();
+    fleet_.start_all();
+    say("all are started");
+    bool ordered = false;
+    for (const Step& step : scenario_.step()) {
+      take(step);
+      if (!std::exchange(ordered, true)) fleet_.orders_begin(steady());
+    }
+    ProcessFleet::Account a = fleet_.account();
+    bool kept = a.served == a.given && a.begun_twice == 0 && a.longest <= 256;
+    std::printf(
+        "verdict: %s; %llu orders, %llu answered well, %llu begun twice, longest datagram %ld bytes\n",
+        kept ? "kept" : "BROKEN", static_cast<unsigned long long>(a.given),
+        static_cast<unsigned long long>(a.served), static_cast<unsigned long long>(a.begun_twice), a.longest);
+    if (!report.empty()) write(report, a, kept);
+    return kept;
+  }
+
+ private:
+  // Members that no step touches: orders go there, and each has to be answered.
+  std::vector<int> steady() const {
+    std::set<int> left;
+    for (std::uint32_t i = 0; i < scenario_.dispatchers(); ++i) left.insert(static_cast<int>(i));
+    for (const Step& s : scenario_.step())
+      for (const Members* m : {&s.crash(), &s.stop(), &s.end()})
+        for (int i : members(*m)) left.erase(i);
+    if (left.empty()) left.insert(0);
+    return {left.begin(), left.end()};
+  }
+
+  void take(const Step& step) {
+    auto each = [&](const Members& m, const char* what, auto act) {
+      for (int i : members(m)) act(i);
+      say(std::to_string(members(m).size()) + " " + what);
+    };
+    switch (step.what_case()) {
+      case Step::kStart: return each(step.start(), "started", [&](int i) { fleet_.start(i); });
+      case Step::kCrash: return each(step.crash(), "crashed", [&](int i) { fleet_.crash(i); });
+      case Step::kStop: return each(step.stop(), "stopped", [&](int i) { fleet_.stop(i); });
+      case Step::kWake: return each(step.wake(), "woken", [&](int i) { fleet_.wake(i); });
+      case Step::kEnd: return each(step.end(), "ended", [&](int i) { fleet_.leave(i); });
+      case Step::kSplit:
+        groups_.clear();
+        for (const Members& g : step.split().group()) groups_.push_back(members(g));
+        fleet_.relays().split(groups_);
+        return say("split into " + std::to_string(groups_.size()));
+      case Step::kPath: return path(step.path());
+      case Step::kHeal:
+        groups_.clear();
+        fleet_.relays().set_all({});
+        return say("all paths are whole");
+      case Step::kPassMs: std::this_thread::sleep_for(std::chrono::milliseconds(step.pass_ms())); return;
+      case Step::kSettle: return settle();
+      case Step::WHAT_NOT_SET: return;
+    }
+  }
+
+  void path(const Path& p) {
+    Link link;
+    link.cut = p.cut(), link.loss = p.loss(), link.twice = p.twice(), link.spoilt = p.spoilt();
+    link.delay_ms = p.delay_ms(), link.jitter_ms = p.jitter_ms();
+    int n = static_cast<int>(scenario_.dispatchers());
+    for (int from = 0; from < n; ++from)
+      for (int to = 0; to < n; ++to)
+        if ((!p.has_from() || from == static_cast<int>(p.from())) &&
+            (!p.has_to() || to == static_cast<int>(p.to())))
+          fleet_.relays().set(from, to, link);
+    say("paths changed");
+  }
+
+  void settle() {
+    double from = now_s();
+    std::vector<std::set<int>> parts;
+    for (const auto& group : groups_) {
+      std::set<int> up;
+      for (int i : group)
+        if (fleet_.up().contains(i)) up.insert(i);
+      if (!up.empty()) parts.push_back(std::move(up));
+    }
+    if (parts.empty()) parts.push_back(fleet_.up());
+    for (const auto& part : parts) ProcessFleet::wait([&] { return fleet_.agree(part); });
+    double took = now_s() - from;
+    settled_.append(took);
+    char text[80];
+    std::snprintf(text, sizeof text, "settled after %.2f s, %zu up", took, fleet_.up().size());
+    say(text);
+  }
+
+  void say(const std::string& what) {
+    std::printf("%8.2f s  %s\n", now_s() - begun_, what.c_str());
+    std::fflush(stdout);
+  }
+
+  void write(const std::string& folder, const ProcessFleet::Account& a, bool kept) {
+    std::filesystem::create_directories(folder);
+    Json::Value r;
+    r["kept"] = kept, r["orders"] = Json::UInt64{a.given}, r["answered"] = Json::UInt64{a.served};
+    r["begun_twice"] = Json::UInt64{a.begun_twice}, r["settled_s"] = settled_;
+    r["datagrams_passed"] = Json::Int64{fleet_.relays().passed()};
+    std::ofstream(folder + "/report.json") << r;
+    for (std::uint32_t i = 0; i < scenario_.dispatchers(); ++i)
+      std::ofstream(folder + "/dispatcher-" + std::to_string(i) + ".log")
+          << fleet_.member(static_cast<int>(i)).log();
+  }
+
+  const Scenario& scenario_;
+  ProcessFleet fleet_;
+  std::vector<std::vector<int>> groups_;
+  Json::Value settled_{Json::arrayValue};
+  double begun_ = 0;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) try {
+  CLI::App line{"Plays scenarios on processes of oatledge, on the loopback."};
+  line.require_subcommand(1);
+  CLI::App* run = line.add_subcommand("run", "play one; exit 0 where it was kept, 1 where not");
+  std::string path, report;
+  std::uint32_t dispatchers = 0;
+  ProcessFleet::Setup setup{"build/oatledge", "examples/config.json", 8, 3, 200, 60, 1};
+  run->add_option("scenario", path, "in protobuf text format, proto/scenario.proto")->required();
+  run->add_option("--dispatchers", dispatchers, "instead of the scenario's");
+  run->add_option("--seed", setup.seed, "of what is lost, doubled and spoilt on the way");
+  run->add_option("--report", report, "a folder for report.json and the logs");
+  run->add_option("--program", setup.program, "build/oatledge");
+  run->add_option("--config", setup.config, "examples/config.json");
+  CLI11_PARSE(line, argc, argv);
+  Scenario scenario = read(path, dispatchers);
+  setup.members = static_cast<int>(scenario.dispatchers()),
+  setup.workers = static_cast<int>(scenario.workers());
+  setup.period_ms = static_cast<int>(scenario.period_ms()),
+  setup.answer_ms = static_cast<int>(scenario.answer_ms());
+  return Run(scenario, setup).play(report) ? 0 : 1;
+} catch (const std::invalid_argument& e) {  // lines of their own, as editors read them
+  std::fprintf(stderr, "%s\n", e.what());
+  return 1;
+} catch (const std::exception& e) {
+  std::fprintf(stderr, "oatledge-lab: %s\n", e.what());
+  return 1;
+}
--- /dev/null
+++ b/lab/process_fleet.cpp
@@ -0,0 +1,111 @@
+#include "process_fleet.h"
+
+#include <json/reader.h>
+#include <signal.h>
+
+#include <chrono>
+#include <sstream>
+
+namespace oatledge::lab {
+
+ProcessFleet::ProcessFleet(Setup setup)
+    : setup_(std::move(setup)),
+      host_(own_host()),
+      workers_(host_, setup_.workers),
+      relays_(host_, setup_.members, setup_.seed) {
+  for (int i = 0; i < setup_.members; ++i) members_.emplace_back();
+}
+
+ProcessFleet::~ProcessFleet() { orders_end(); }
+
+void ProcessFleet::start(int i) {
+  auto& member = members_.at(static_cast<std::size_t>(i));
+  if (member) {
+    member->start_again();
+  } else {
+    Json::Value more, peers(Json::arrayValue);
+    for (const std::string& p : relays_.all()) peers.append(p);
+    more["peer_listen"] = relays_.listen(i), more["peers"] = peers;
+    more["settings"]["Index"] = i, more["settings"]["Balancers"] = setup_.members;
+    more["settings"]["Permissions"]["Peers"] = true;
+    Dispatcher::Setup one;
+    one.program = setup_.program, one.config = setup_.config, one.host = host_;
+    one.features = "streaming {} fleet { period_ms: " + std::to_string(setup_.period_ms) +
+                   " answer_ms: " + std::to_string(setup_.answer_ms) + " }";
+    one.sockets = 256, one.operators = true, one.more = more.toStyledString();
+    member = std::make_unique<Dispatcher>(one, workers_);
+  }
+  up_.insert(i);
+}
+
+void ProcessFleet::start_all() {
+  for (int i = 0; i < setup_.members; ++i) start(i);
+}
+
+void ProcessFleet::crash(int i) { up_.erase(i), member(i).crash(); }
+
+int ProcessFleet::leave(int i) {
+  up_.erase(i);
+  return member(i).end();
+}
+
+void ProcessFleet::stop(int i) { up_.erase(i), kill(member(i).pid(), SIGSTOP); }
+void ProcessFleet::wake(int i) { up_.insert(i), kill(member(i).pid(), SIGCONT); }
+
+Json::Value ProcessFleet::view(int i) {
+  Json::Value out;
+  Call c = call(member(i).operators(), "GET", "/admin/fleet");
+  if (c.status == 200) std::istringstream(c.body) >> out;
+  return out;
+}
+
+std::map<std::string, int> ProcessFleet::states(const Json::Value& view) {
+  std::map<std::string, int> out;
+  for (const Json::Value& m : view["members"]) ++out[m["state"].asString()];
+  return out;
+}
+
+bool ProcessFleet::agree(const std::set<int>& these) {
+  std::set<std::string> digests;
+  for (int i : these) {
+    Json::Value v = view(i);
+    auto s = states(v);
+    if (s["alive"] + 1 != static_cast<int>(these.size()) || s["suspect"] > 0) return false;
+    digests.insert(v["digest"].asString());
+  }
+  return digests.size() == 1;
+}
+
+void ProcessFleet::wait(const std::function<bool()>& comes) {
+  while (!comes()) std::this_thread::sleep_for(std::chrono::milliseconds(20));
+}
+
+void ProcessFleet::orders_begin(const std::vector<int>& at) {
+  std::vector<std::string> addresses;
+  for (int i : at) addresses.push_back(member(i).address());
+  orders_ = std::thread([this, addresses] {
+    while (!over_) {
+      Order o;
+      o.id = ++given_, o.query = "reply=8&work=5";
+      Answer a = hand_in(addresses[given_ % addresses.size()], o);
+      served_ += a.status == 200 && a.whole && !a.unread;
+    }
+  });
+}
+
+void ProcessFleet::orders_end() {
+  over_ = true;
+  if (orders_.joinable()) orders_.join();
+}
+
+ProcessFleet::Account ProcessFleet::account() {
+  orders_end();
+  std::map<std::string, int> begun;
+  for (const Seen& s : workers_.seen()) begun[s.id] += s.begun;
+  Account a;
+  a.given = given_, a.served = served_, a.longest = relays_.longest();
+  for (const auto& [id, times] : begun) a.begun_twice += times > 1;
+  return a;
+}
+
+}  // namespace oatledge::lab
--- /dev/null
+++ b/lab/process_fleet.h
@@ -0,0 +1,74 @@
+// A fleet of the program's own processes, with a relay on every path between them and orders that run
+// throughout. It ends its own children whatever happens to it.
+#pragma once
+
+#include <json/value.h>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "relays.h"
+#include "standins.h"
+
+namespace oatledge::lab {
+
+class ProcessFleet {
+ public:
+  struct Setup {
+    std::string program, config;  // config: a file
+    int members = 8, workers = 3;
+    int period_ms = 200, answer_ms = 60;  // of the fleet's view
+    std::uint64_t seed = 1;               // of what the relays draw
+  };
+  explicit ProcessFleet(Setup setup);
+  ~ProcessFleet();
+
+  void start(int i);  // again too, after a crash or a farewell: it knows nothing of before
+  void start_all();
+  void crash(int i);  // SIGKILL
+  int leave(int i);   // SIGTERM; its exit code
+  void stop(int i);   // SIGSTOP; not up until it is woken
+  void wake(int i);   // SIGCONT
+  Dispatcher& member(int i) { return *members_.at(static_cast<std::size_t>(i)); }
+  Relays& relays() { return relays_; }
+  const std::set<int>& up() const { return up_; }
+
+  Json::Value view(int i);  // null where it does not answer
+  static std::map<std::string, int> states(const Json::Value& view);
+  // All of `these` hold one digest, hold alive just these, and doubt nobody.
+  bool agree(const std::set<int>& these);
+  // Waits for an event, however long it takes.
+  static void wait(const std::function<bool()>& comes);
+  void settles() {
+    wait([this] { return agree(up_); });
+  }
+
+  // Orders one after another at the members named, until orders_end().
+  void orders_begin(const std::vector<int>& at);
+  void orders_end();
+  struct Account {  // by what the stand-ins saw
+    std::uint64_t given = 0, served = 0, begun_twice = 0;
+    long longest = 0;  // datagram, in bytes
+  };
+  Account account();  // ends the orders
+
+ private:
+  Setup setup_;
+  std::string host_;
+  Fleet workers_;
+  Relays relays_;
+  std::vector<std::unique_ptr<Dispatcher>> members_;
+  std::set<int> up_;
+  std::thread orders_;
+  std::atomic<bool> over_{false};
+  std::uint64_t given_ = 0, served_ = 0;
+};
+
+}  // namespace oatledge::lab
--- a/lab/relays.cpp
+++ b/lab/relays.cpp
@@ -1,5 +1,7 @@
 #include "relays.h"
 
+#include "address.h"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -34,15 +36,6 @@
   return host + ":" + std::to_string(ntohs(address.sin_port));
 }
 
-sockaddr_in parse(const std::string& address) {
-  sockaddr_in out{};
-  out.sin_family = AF_INET;
-  std::size_t colon = address.find(':');
-  inet_pton(AF_INET, address.substr(0, colon).c_str(), &out.sin_addr);
-  out.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
-  return out;
-}
-
 }  // namespace
 
 Relays::Relays(const std::string& host, int members, std::uint64_t seed)
@@ -87,7 +80,7 @@
 }
 
 void Relays::pass(const Late& late) {
-  sockaddr_in to = parse(inner_[static_cast<std::size_t>(late.to)]);
+  sockaddr_in to = parse_address(inner_[static_cast<std::size_t>(late.to)]);
   sendto(sockets_[static_cast<std::size_t>(late.from)], late.bytes.data(), late.bytes.size(), 0,
          reinterpret_cast<sockaddr*>(&to), sizeof to);
   ++passed_;
--- a/lab/standins.cpp
+++ b/lab/standins.cpp
@@ -1,5 +1,7 @@
 #include "standins.h"
 
+#include "address.h"
+
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <json/reader.h>
@@ -38,15 +40,6 @@
   return std::chrono::duration<double, std::milli>(Clock::now() - t).count();
 }
 
-sockaddr_in parse(const std::string& address) {
-  sockaddr_in a{};
-  a.sin_family = AF_INET;
-  std::size_t colon = address.rfind(':');
-  inet_pton(AF_INET, address.substr(0, colon).c_str(), &a.sin_addr);
-  a.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
-  return a;
-}
-
 // A connection with what has been read of it and not yet used. Calls return false when the other side is
 // gone.
 class Wire {
@@ -68,7 +61,7 @@
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (buffer) setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
     if (buffer) setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &buffer, sizeof buffer);
-    sockaddr_in a = parse(address);
+    sockaddr_in a = parse_address(address);
     if (connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0) return fd;
     ::close(fd);
     return -1;
@@ -300,7 +293,7 @@
 
 void Fleet::listen(const std::function<void(int)>& serve, std::string& address) {
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in a = parse(host_ + ":0");
+  sockaddr_in a = parse_address(host_ + ":0");
   socklen_t size = sizeof a;
   if (bind(fd, reinterpret_cast<sockaddr*>(&a), size) != 0 || ::listen(fd, 1024) != 0)
     throw std::runtime_error("a stand-in cannot listen on " + host_);
@@ -524,7 +517,7 @@
 // A port that was free a moment ago, on an address that nobody else uses.
 std::string Dispatcher::free_address() const {
   int probe = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in a = parse(setup_.host + ":0");
+  sockaddr_in a = parse_address(setup_.host + ":0");
   socklen_t size = sizeof a;
   bind(probe, reinterpret_cast<sockaddr*>(&a), size);
   getsockname(probe, reinterpret_cast<sockaddr*>(&a), &size);
