--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -94,8 +94,8 @@
   digest_ = hash(options_.self, State::Alive, self_.incarnation);
   // Held alive with the least incarnation of all until heard: who is not there is found out like any other.
   for (const Endpoint& other : options_.others)
-    if (other != options_.self) set(now, other, State::Alive, 0);
-  telling_.clear();  // that is no news
+    if (other != options_.self && members_.try_emplace(other, Member{State::Alive, 0, now}).second)
+      digest_ ^= hash(other, State::Alive, 0);
   telling_[options_.self] = 0;
   for (const Entry& known : options_.known) hear(now, known);
   // Members that start together do not probe in step.
--- a/tests/net/view_test.cpp
+++ b/tests/net/view_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "../../lab/view_world.h"
+#include "../../src/fleet/loads.h"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -196,6 +197,24 @@
   }
   CHECK(other.digest() == before);
   CHECK(other.dropped() == 3 + 2 * good.size());
+  // Bytes at random, under a right check: whatever is taken leaves a table that can be told and compared.
+  std::mt19937_64 random(11);
+  Loads loads(0, 3);
+  loads.list({"s-1", "s-2"}, [](const std::string&, int) {});
+  for (int i = 0; i < 100'000; ++i) {
+    std::string body = random() % 2 ? good.substr(0, kHead) : std::string(random() % 240, '\0');
+    std::size_t whole = kHead + kEntry * (random() % 20);
+    if (random() % 2) body.resize(random() % 3 ? whole : kHead + 8 * kParts);
+    for (std::size_t n = random() % 12; n > 0 && !body.empty(); --n)
+      body[random() % body.size()] = static_cast<char>(random());
+    if (body.size() > 1) body[0] = 0x21, body[1] = static_cast<char>(random() % 7);
+    other.take(Time(Duration(i)), at(2 + static_cast<int>(random() % 3)), checked(body));
+    loads.take(Time(Duration(i)), random() % 4, body,
+               [](const std::string&, int jobs) { REQUIRE(jobs <= kMostThere); });
+    if (i % 50 == 0) other.tick(Time(Duration(i)));
+  }
+  CHECK(other.members().size() <= 4096);
+  CHECK(std::ranges::all_of(sent, [](const std::string& bytes) { return bytes.size() <= 256; }));
   for (const char* bad :
        {"", "1.2.3:4", "1.2.3.4", "1.2.3.256:7", "1.2.3.4:0", "1.2.3.4:70000", "1.2.3.4:5x", "a.b.c.d:1"})
     CHECK_FALSE(parse_endpoint(bad));
