Bound what a flood of datagrams can make a member of the view say

Read again: a comparison of tables (156 bytes) is answered with up to 1 KB, and a probe for another is remembered until the period ends, whoever sends it. Now forty comparisons a period are answered and 256 such probes remembered.

--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -20,7 +20,9 @@
 constexpr int kDeadTurn = 4;                // every so many periods somebody held dead is probed
 constexpr std::size_t kFarewells = 8;
 constexpr std::size_t kMostReplies = 4;  // datagrams to one that compares
-constexpr int kNewsEach = 10;            // datagrams of news a period at the most, beside the probes
+constexpr int kCompareEach = 40;         // of those that are answered in a period, at the most
+constexpr std::size_t kMostRelays = 256;
+constexpr int kNewsEach = 10;  // datagrams of news a period at the most, beside the probes
 enum Kind { kProbe = 1, kAnswer = 2, kProbeFor = 3, kNews = 4, kCompare = 5 };
 
 void put(std::string& out, std::uint64_t value, int bytes) {
@@ -283,9 +285,11 @@
   // Who is held dead or suspect with this very incarnation is told so, to refute it.
   if (auto m = members_.find(from); m != members_.end() && m->second.state != State::Alive && !leaves)
     telling_[from] = 0;
-  if (compares && differs_) compare(from, bytes);
+  // Bounds what a flood can make this one say; the table is told in time all the same.
+  if (compares && differs_ && now - compared_ >= options_.period / kCompareEach)
+    compared_ = now, compare(from, bytes);
   if (kind == kProbe) say(from, kAnswer, number, options_.self);
-  if (kind == kProbeFor) {
+  if (kind == kProbeFor && relays_.size() < kMostRelays) {
     relays_[++number_] = {from, target, number, now};
     if (members_.contains(target)) say(target, kProbe, number_, {});
   }
--- a/src/fleet/view.h
+++ b/src/fleet/view.h
@@ -131,7 +131,7 @@
   std::map<std::uint32_t, Relay> relays_;  // by our own number
   std::uint32_t number_ = 0;
   std::uint64_t digest_ = 0, sent_ = 0, dropped_ = 0;
-  Time begun_{}, ticked_{}, told_{}, heard_{};
+  Time begun_{}, ticked_{}, told_{}, heard_{}, compared_{Duration(-1e12)};
   int doubt_ = 0;  // in ourselves: probes during which nobody was heard, less those answered
   bool differs_ = false, left_ = false;
 };
