--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -433,9 +433,10 @@
   Choice best_of(const Job& job, bool cross) {
     Choice best;
     double least = 0;
-    for (int round : {0, 1, 2, 3}) {
+    int rounds = job.late || !set_.parallel_tries ? 2 : 4;  // the latter two for queues
+    for (int round = 0; round < rounds; ++round) {
       bool pool = (round % 2 == 0) == is_short(job);
-      double most = job.late || round < 2 || !set_.parallel_tries ? 0 : kQueueShare;
+      double most = round < 2 ? 0 : kQueueShare;
       look(job, pools_[cross][pool], [&](Worker& w) {
         if (!eligible(w, job) || (w.zone != set_.zone) != cross || w.short_pool != pool) return;
         Duration delay = start_delay(w, job), slack = job.limit - now_ - run_time(w, job);
