Keep the endpoint watch alive over a cordon or a hot restart's own changes

What callers saw: after an operator's cordon, or any hot restart, at the wrong moment a dispatcher with Discovery: subscribe never watched again. It went on with its list for good: requests to drained workers, none to new ones.

Cause: App::apply_endpoint_update() passed its own changes (cordons, workers held back while they warm up) on as Delta. EndpointWatcher took that for an answer of discovery, set watching_, and ignored the timer of the call that was still to come: the backoff after a failure, or the delayed first call of a large fleet with a cached list.

Evidence: found while looking for messages whose meaning depends on the path they came by. The new test, with Delta in place of Local, fails on at both moments (0 watches of 1, 1 of 2).

Change: EndpointUpdateKind::Local, a delta that says nothing of the watch.

--- a/include/dispatcher/scheduling/types.h
+++ b/include/dispatcher/scheduling/types.h
@@ -24,8 +24,10 @@
 // Draining: finishes what it has and gets no new request. Removed: no longer listed.
 enum class Readiness { Ready, Draining, Removed };
 
-// Cached: a snapshot kept from an earlier run. Failed: the watch broke off or the poll failed.
-enum class EndpointUpdateKind { Delta, Snapshot, Cached, Failed };
+// Cached: a snapshot kept from an earlier run, or of another process. Failed: the watch broke off
+// or the poll failed. Local: a delta that this dispatcher made itself, such as a cordon; it says
+// nothing about the watch.
+enum class EndpointUpdateKind { Delta, Snapshot, Cached, Failed, Local };
 
 enum class JobEventKind { Started, Progress };
 
--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -198,7 +198,7 @@
   if (update.entries.empty())
     return;
   workers_.update(update);
-  router_.on_endpoint_update(EndpointUpdateKind::Delta, entries_of(update));
+  router_.on_endpoint_update(EndpointUpdateKind::Local, entries_of(update));
   workers_.recall();
 }
 
--- a/src/scheduling/endpoint_watcher.cpp
+++ b/src/scheduling/endpoint_watcher.cpp
@@ -20,7 +20,7 @@
 }
 
 void EndpointWatcher::on_update(Time now, EndpointUpdateKind kind, bool empty) {
-  if (!settings_.watch_required)
+  if (!settings_.watch_required || kind == EndpointUpdateKind::Local)
     return;
   const Duration round = kServiceTime * settings_.dispatchers;
   const Duration minimum = std::clamp(round, kMinimumBackoff, kMaximumBackoff);
--- a/src/scheduling/worker_registry.cpp
+++ b/src/scheduling/worker_registry.cpp
@@ -32,7 +32,8 @@
 }  // namespace
 
 void WorkerRegistry::update(EndpointUpdateKind kind, const std::vector<WorkerEntry>& entries) {
-  if (kind != EndpointUpdateKind::Delta) {
+  const bool whole = kind == EndpointUpdateKind::Snapshot || kind == EndpointUpdateKind::Cached;
+  if (whole) {
     for (auto& [id, worker] : workers_)
       worker.listed = false;
   }
--- a/tests/scheduling/endpoint_watcher_test.cpp
+++ b/tests/scheduling/endpoint_watcher_test.cpp
@@ -45,6 +45,20 @@
   EXPECT_EQ(watches(), 2);
 }
 
+// Guards against a cordon that ends the watch for good: it was taken for an answer of discovery.
+TEST_F(EndpointWatcherTest, LocalChangesCancelNeitherTheFirstWatchNorTheOneAfterAFailure) {
+  settings.dispatchers = 100;
+  watcher.on_update(kStart, EndpointUpdateKind::Cached, false);
+  EXPECT_EQ(watches(), 0);
+  watcher.on_update(kStart, EndpointUpdateKind::Local, false);
+  watcher.on_timer(kStart + Duration(4000), 1);
+  EXPECT_EQ(watches(), 1);
+  watcher.on_update(kStart + Duration(4100), EndpointUpdateKind::Failed, true);
+  watcher.on_update(kStart + Duration(4200), EndpointUpdateKind::Local, false);
+  watcher.on_timer(kStart + Duration(8000), 3);
+  EXPECT_EQ(watches(), 2);
+}
+
 TEST_F(EndpointWatcherTest, BackoffGrowsToItsMaximum) {
   watcher.on_update(kStart, EndpointUpdateKind::Cached, true);
   double maximum_ms = 500;
