Let a request wait for the first endpoint list in place of rejecting it

What callers saw: 503 "refused; nothing of it has run" within 5 ms, from a process that had not had its first list from discovery yet.

Cause: without a ready worker CandidateSelector::latest_useful_start() reckoned with the lowest speed (0.01), so that the latest useful start of every request lay in the past: "shed: a pending request can no longer be in time" in the same millisecond.

Change: until the first list (WorkerRegistry::list_known()) it reckons with the mean speed. The request is pending as long as it can be in time and is dispatched when the list comes. Known lists without a fit worker are judged as before.

--- a/src/scheduling/candidate_selector.cpp
+++ b/src/scheduling/candidate_selector.cpp
@@ -39,7 +39,7 @@
 }
 
 Time CandidateSelector::latest_useful_start(const RequestState& state) const {
-  double maximum_speed = kMinimumSpeed;
+  double maximum_speed = registry_.list_known() ? kMinimumSpeed : registry_.mean_speed();
   for (const Worker* worker : registry_.ready()) {
     if (can_run(*worker, state))
       maximum_speed = std::max(maximum_speed, worker->speed);
--- a/src/scheduling/worker_registry.cpp
+++ b/src/scheduling/worker_registry.cpp
@@ -32,6 +32,8 @@
 }  // namespace
 
 void WorkerRegistry::update(EndpointUpdateKind kind, const std::vector<WorkerEntry>& entries) {
+  if (kind != EndpointUpdateKind::Cached || !entries.empty())
+    list_known_ = true;
   const bool whole = kind == EndpointUpdateKind::Snapshot || kind == EndpointUpdateKind::Cached;
   if (whole) {
     for (auto& [id, worker] : workers_)
--- a/src/scheduling/worker_registry.h
+++ b/src/scheduling/worker_registry.h
@@ -61,6 +61,9 @@
   const WorkerPool& pool(bool remote, bool short_pool) const { return pools_[remote][short_pool]; }
   double short_share() const { return short_share_; }  // capacity of the short pools, of all
   double mean_speed() const { return mean_speed_; }
+  // False until the first endpoint list: nothing is known of the workers then, not even that there
+  // are none.
+  bool list_known() const { return list_known_; }
 
   std::size_t sample_size() const {
     return static_cast<std::size_t>(
@@ -87,6 +90,7 @@
   std::array<std::array<WorkerPool, 2>, 2> pools_;  // [in another zone][short]
   double short_share_ = 0.5;
   double mean_speed_ = 1;
+  bool list_known_ = false;
 };
 
 }  // namespace dispatcher::scheduling
--- a/tests/scheduling/pending_requests_test.cpp
+++ b/tests/scheduling/pending_requests_test.cpp
@@ -23,6 +23,27 @@
   EXPECT_TRUE(scene.answered(3, ActionKind::Reject));
 }
 
+// Guards against requests that were rejected in the millisecond of their arrival, as no worker was
+// known before the first endpoint list.
+TEST(Pending, ARequestBeforeTheFirstEndpointListWaitsForItAsLongAsItCanBeInTime) {
+  Scene scene(settings(Idempotency::NonIdempotent));
+  scene.list({}, EndpointUpdateKind::Cached);
+  scene.request(1, 100);  // wanted within 500 ms
+  scene.pass(400);
+  EXPECT_FALSE(scene.answered(1, ActionKind::Reject));
+  scene.list({}, EndpointUpdateKind::Failed);
+  scene.list({scene.worker("a")});
+  EXPECT_EQ(scene.sent_to(1), "a");
+}
+
+TEST(Pending, ARequestThatNoEndpointListReachesInTimeIsRejected) {
+  Scene scene(settings(Idempotency::NonIdempotent));
+  scene.list({}, EndpointUpdateKind::Cached);
+  scene.request(1, 100);
+  scene.pass(600);
+  EXPECT_TRUE(scene.answered(1, ActionKind::Reject));
+}
+
 TEST(Pending, LateRequestsStayWhereLateAnswersHaveAWeight) {
   Settings set = settings(Idempotency::NonIdempotent);
   set.classes[0].late_weight = 0.5;
