Keep the folders and print the wrong answers of a failed process test

A test that starts processes and failed left nothing: its folder was removed with it, so that the one failed run of "three upgrades" could not be traced.

The hot restart tests print each wrong answer with id, status, body and times. Checks are unchanged; the fixture of the hot restart tests moved to a header, as a second file will use it.

--- a/testbed/stubs/dispatcher_process.cpp
+++ b/testbed/stubs/dispatcher_process.cpp
@@ -23,6 +23,7 @@
 
 #include "testbed/stubs/address.h"
 #include "testbed/stubs/blocking_connection.h"
+#include "testbed/stubs/evidence.h"
 #include "testbed/stubs/http_transfer.h"
 
 namespace dispatcher::testbed {
@@ -101,6 +102,10 @@
     if (pid > 0)
       kill_and_wait(pid);
   }
+  if (keeps_evidence()) {
+    report_evidence(folder_, log());
+    return;
+  }
   std::error_code ignored;
   std::filesystem::remove_all(folder_, ignored);
 }
--- a/tests/hot_restart/hot_restart_test.cpp
+++ b/tests/hot_restart/hot_restart_test.cpp
@@ -4,19 +4,21 @@
 #include <csignal>
 
 #include <atomic>
-#include <catch2/catch.hpp>
-#include <cstdlib>
 #include <deque>
 #include <filesystem>
 #include <fstream>
 #include <set>
 
 #include "hot_restart/ownership.h"
-#include "testbed/stubs/stubs.h"
+#include "tests/hot_restart/process_scene.h"
 
 using namespace dispatcher;
+using namespace dispatcher::testbed;
 using hot_restart::IncomingOwnership;
 using hot_restart::OutgoingOwnership;
+using testing::kRelayed;
+using testing::kServed;
+using testing::Scene;
 
 namespace {
 
@@ -224,51 +226,6 @@
 
 // ---- As processes ----
 
-namespace {
-
-using namespace dispatcher::testbed;
-
-std::string environment(const char* name) {
-  const char* value = std::getenv(name);
-  REQUIRE(value);
-  return value;
-}
-
-struct Scene {
-  Fleet fleet{own_host(), 3};
-  Dispatcher dispatcher{
-      {environment("DISPATCHER"), environment("DISPATCHER_CONFIG"), "", own_host(), 1024, true},
-      fleet};
-  std::atomic<std::uint64_t> ids{1};
-
-  Order order(const std::string& query = "news=1&work=3") {
-    Order o;
-    o.id = ids++;
-    o.query = query;
-    o.upload = 100;
-    o.time_left_ms = 5000;
-    return o;
-  }
-  std::map<std::string, int> begun() {
-    std::map<std::string, int> counts;
-    for (const Seen& s : fleet.seen())
-      counts[s.id] += s.begun;
-    return counts;
-  }
-  template <class Done>
-  void until(Done done) {  // a test that hangs here is ended by the test runner
-    while (!done())
-      std::this_thread::sleep_for(std::chrono::milliseconds(5));
-  }
-  Call stats(const std::string& operators) { return call(operators, "GET", "/admin/stats"); }
-  bool logged(const std::string& text) { return dispatcher.log().find(text) != std::string::npos; }
-};
-
-const std::string kServed = "dispatcher.operations.place-order.fulfilled";
-const std::string kRelayed = "dispatcher.relayed";
-
-}  // namespace
-
 TEST_CASE(
     "three upgrades under orders: each gets one answer, none begins twice, no connection ends, "
     "figures add "
@@ -284,7 +241,10 @@
       for (int n = 0; !over; ++n) {
         Order o = s.order("news=1&work=" + std::to_string(1 + (n * 7 + i * 13) % 40));
         Answer a = i < 6 ? client.submit_request(o) : submit_request(s.dispatcher.address(), o);
-        ++(a.status == 200 && a.whole && a.body == pattern_sha(0, 100) ? served : other);
+        bool right = a.status == 200 && a.whole && a.body == pattern_sha(0, 100);
+        ++(right ? served : other);
+        if (!right)
+          s.note_wrong(o, a);
       }
     });
   }
@@ -373,8 +333,13 @@
   std::atomic<int> other{0};
   std::thread orders([&] {
     Regular client(s.dispatcher.address());
-    while (!over)
-      ++(client.submit_request(s.order()).status == 200 ? served : other);
+    while (!over) {
+      Order order = s.order();
+      Answer answer = client.submit_request(order);
+      ++(answer.status == 200 ? served : other);
+      if (answer.status != 200)
+        s.note_wrong(order, answer);
+    }
   });
   for (int round = 0; round < 3; ++round) {
     int before = served;
