Take messages before Welcome for what they are, and send none there

Cause: the outgoing process sent RequestAccepted, JobEventForward and CordonCall on a link that was open but not welcomed yet. The incoming one took the first packet for the answer to Hello and dropped it (contact_outgoing_process()), went on without Welcome, and so started without an endpoint list. A dropped JobEventForward got no receipt: the worker's call hung until the link ended, for good if it ended before the ownership transfer.

Change: the incoming process reads until Welcome, Rejection or one second, and handles every packet in order through its one message handler. The outgoing one shares events only after OwnershipTransfer, which carries what came before (ids, cordons); until then the other holds no request. A rejection closes the link on both paths. The trace names each message on the link with its sender.

--- a/src/hot_restart/hot_restart.cpp
+++ b/src/hot_restart/hot_restart.cpp
@@ -5,8 +5,8 @@
 HotRestart::HotRestart(Options options, const ProcessContext& context)
     : options_(std::move(options)),
       context_(context),
-      predecessor_(context.main_context),
-      successor_(context.main_context),
+      predecessor_(context.main_context, "outgoing process", options_.trace),
+      successor_(context.main_context, "incoming process", options_.trace),
       shared_events_(context.program, predecessor_, successor_, context.log),
       outgoing_(options_, context, successor_, shared_events_, [this] { listen_for_successor(); }),
       incoming_(options_, context, predecessor_, shared_events_,
--- a/src/hot_restart/incoming_process.cpp
+++ b/src/hot_restart/incoming_process.cpp
@@ -1,6 +1,7 @@
 #include "hot_restart/incoming_process.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace dispatcher::hot_restart {
 
@@ -30,16 +31,17 @@
     return std::nullopt;
   log.line("hot-restart", "another process of this dispatcher is running");
   transport::send_packet(contact.socket.get(), hello_packet(self));
-  auto packet = transport::receive_within(contact.socket.get(), kFirstAnswerTimeout);
-  std::optional<Message> message = packet ? read_message(packet->bytes) : std::nullopt;
-  if (!message)
-    return contact;
-  if (message->has_rejection()) {
-    log.line("hot-restart", "the outgoing process rejected us: " + message->rejection().reason());
-    contact.rejected = true;
-  } else if (message->has_welcome() && packet->descriptors.size() == 1) {
-    contact.welcome = message->welcome();
-    contact.listener = std::move(packet->descriptors[0]);
+  auto give_up_at = std::chrono::steady_clock::now() + kFirstAnswerTimeout;
+  for (bool answered = false; !answered;) {
+    Duration left = give_up_at - std::chrono::steady_clock::now();
+    auto packet = transport::receive_within(contact.socket.get(), std::max(left, Duration(0)));
+    if (!packet)
+      break;
+    std::optional<Message> message = read_message(packet->bytes);
+    answered = !message || !SharedEvents::is_shared(*message);
+    if (message && message->has_welcome())
+      contact.welcome = message->welcome();
+    contact.packets.push_back(std::move(*packet));
   }
   return contact;
 }
@@ -56,60 +58,65 @@
 void IncomingProcess::start(std::optional<OutgoingProcessContact> contact) {
   if (!contact)
     return carry_out(ownership_.on_no_listener());
-  if (contact->rejected)
-    return carry_out(ownership_.on_rejection());
   context_.program.set_serving(false);
   context_.network.limit(options_.shared_limits(options_.connection_limits.accepted));
-  listener_ = std::move(contact->listener);
   open_link(std::move(contact->socket));
-  if (!contact->welcome)
-    return;
-  apply_cordons(contact->welcome->cordons());
-  carry_out(ownership_.on_welcome());
+  for (Packet& packet : contact->packets)
+    predecessor_.receive(std::move(packet));
 }
 
 void IncomingProcess::open_link(transport::ObjectPtr<GSocket> socket) {
   predecessor_.open(
-      std::move(socket), [this](Packet packet) { on_packet(std::move(packet)); },
+      std::move(socket), [this](ReceivedMessage received) { on_message(std::move(received)); },
       [this] {
         on_link_ended();
         carry_out(ownership_.on_link_ended());
       });
+  predecessor_.share_events(true);
 }
 
-void IncomingProcess::on_packet(Packet packet) {
-  std::optional<Message> message = read_message(packet.bytes);
+void IncomingProcess::on_message(ReceivedMessage received) {
+  const std::optional<Message>& message = received.message;
   if (!message)
     return on_invalid_message();
   if (SharedEvents::is_shared(*message))
     return shared_events_.on_message(predecessor_, *message);
+  Descriptors& descriptors = received.descriptors;
   switch (message->kind_case()) {
     case Message::kWelcome:
-      return on_welcome(message->welcome(), std::move(packet));
+      return on_welcome(message->welcome(), std::move(descriptors));
     case Message::kRejection:
-      return carry_out(ownership_.on_rejection());
+      context_.log.line("hot-restart",
+                        "the outgoing process rejected us: " + message->rejection().reason());
+      return on_rejection();
     case Message::kOwnershipTransfer:
-      return on_ownership_transfer(message->ownership_transfer(), std::move(packet));
+      return on_ownership_transfer(message->ownership_transfer(), std::move(descriptors));
     case Message::kAdoptedRequest:
-      return on_adopted_request(message->adopted_request(), std::move(packet));
+      return on_adopted_request(message->adopted_request(), std::move(descriptors));
     case Message::kReleasedConnection:
-      return on_released_connection(message->released_connection(), std::move(packet));
+      return on_released_connection(message->released_connection(), std::move(descriptors));
     default:
       return on_invalid_message();
   }
 }
 
-void IncomingProcess::on_welcome(const Welcome& welcome, Packet packet) {
-  if (packet.descriptors.size() != 1)
+void IncomingProcess::on_welcome(const Welcome& welcome, Descriptors descriptors) {
+  if (descriptors.size() != 1)
     return on_invalid_message();
-  listener_ = std::move(packet.descriptors[0]);
+  listener_ = std::move(descriptors[0]);
   apply_cordons(welcome.cordons());
   carry_out(ownership_.on_welcome());
 }
 
-void IncomingProcess::on_ownership_transfer(const OwnershipTransfer& transfer, Packet packet) {
-  if (!packet.descriptors.empty())
-    inherited_fleet_.socket = std::move(packet.descriptors[0]);
+void IncomingProcess::on_rejection() {
+  predecessor_.close();
+  carry_out(ownership_.on_rejection());
+}
+
+void IncomingProcess::on_ownership_transfer(const OwnershipTransfer& transfer,
+                                            Descriptors descriptors) {
+  if (!descriptors.empty())
+    inherited_fleet_.socket = std::move(descriptors[0]);
   inherited_fleet_.incarnation = transfer.incarnation();
   std::ranges::move(read_members(transfer), std::back_inserter(inherited_fleet_.members));
   Action action = ownership_.on_ownership_transfer();
@@ -148,18 +155,19 @@
   });
 }
 
-void IncomingProcess::on_released_connection(const ReleasedConnection& connection, Packet packet) {
-  if (packet.descriptors.size() != 1 || !is_serving())
+void IncomingProcess::on_released_connection(const ReleasedConnection& connection,
+                                             Descriptors descriptors) {
+  if (descriptors.size() != 1 || !is_serving())
     return on_invalid_message();
   set_accepted_limit(std::min(accepted_limit_ + 1, options_.connection_limits.accepted));
-  if (auto slot = context_.network.adopt(std::move(packet.descriptors[0])))
+  if (auto slot = context_.network.adopt(std::move(descriptors[0])))
     context_.program.client_server().adopt(*slot, connection.unread(), connection.used());
 }
 
-void IncomingProcess::on_adopted_request(const AdoptedRequest& request, Packet packet) {
-  if (packet.descriptors.size() != 1 || !is_serving())
+void IncomingProcess::on_adopted_request(const AdoptedRequest& request, Descriptors descriptors) {
+  if (descriptors.size() != 1 || !is_serving())
     return on_invalid_message();
-  if (auto slot = context_.network.adopt(std::move(packet.descriptors[0])))
+  if (auto slot = context_.network.adopt(std::move(descriptors[0])))
     context_.program.adopted_requests().adopt(request, *slot);
 }
 
--- a/src/hot_restart/incoming_process.h
+++ b/src/hot_restart/incoming_process.h
@@ -15,13 +15,14 @@
 // An outgoing process that answered, or may still answer, to Hello.
 struct OutgoingProcessContact {
   transport::ObjectPtr<GSocket> socket;
-  std::optional<Welcome> welcome;  // nothing: rejected, or no answer yet
-  bool rejected = false;
-  transport::Descriptor listener;  // the listening socket, with `welcome`
+  // All that it has sent so far, in order.
+  std::vector<transport::Packet> packets;
+  std::optional<Welcome> welcome;  // the last of `packets`; nothing: rejected, or no answer yet
 };
 
-// Before there is a main loop; waits one second at most. Nothing: nobody listens at the path.
-// Throws std::runtime_error where local sockets cannot be had.
+// Before there is a main loop; waits for the answer to Hello for one second at most. An outgoing
+// process of an earlier version may send ids of requests, job events and cordon calls before it.
+// Nothing: nobody listens at the path. Throws std::runtime_error where local sockets cannot be had.
 std::optional<OutgoingProcessContact> contact_outgoing_process(const std::string& socket_path,
                                                                const DispatcherIdentity& self,
                                                                operations::Log& log);
@@ -41,13 +42,16 @@
   void start(std::optional<OutgoingProcessContact> contact);
 
  private:
+  using Descriptors = std::vector<transport::Descriptor>;
+
   void open_link(transport::ObjectPtr<GSocket> socket);
   void on_link_ended();
-  void on_packet(transport::Packet packet);
-  void on_welcome(const Welcome& welcome, transport::Packet packet);
-  void on_ownership_transfer(const OwnershipTransfer& transfer, transport::Packet packet);
-  void on_released_connection(const ReleasedConnection& connection, transport::Packet packet);
-  void on_adopted_request(const AdoptedRequest& request, transport::Packet packet);
+  void on_message(ReceivedMessage received);
+  void on_welcome(const Welcome& welcome, Descriptors descriptors);
+  void on_rejection();
+  void on_ownership_transfer(const OwnershipTransfer& transfer, Descriptors descriptors);
+  void on_released_connection(const ReleasedConnection& connection, Descriptors descriptors);
+  void on_adopted_request(const AdoptedRequest& request, Descriptors descriptors);
   void on_invalid_message() { carry_out(ownership_.on_invalid_message()); }
   void carry_out(IncomingOwnership::Action action);
   void close_link();
--- a/src/hot_restart/outgoing_process.cpp
+++ b/src/hot_restart/outgoing_process.cpp
@@ -40,12 +40,12 @@
   if (!ownership_.can_accept_link())
     return;  // closes the socket; the other side asks again
   successor_.open(
-      std::move(socket), [this](const transport::Packet& packet) { on_packet(packet); },
+      std::move(socket), [this](const ReceivedMessage& received) { on_message(received); },
       [this] { carry_out(ownership_.on_link_ended()); });
 }
 
-void OutgoingProcess::on_packet(const transport::Packet& packet) {
-  std::optional<Message> message = read_message(packet.bytes);
+void OutgoingProcess::on_message(const ReceivedMessage& received) {
+  const std::optional<Message>& message = received.message;
   if (!message)
     return carry_out(ownership_.on_invalid_message());
   if (SharedEvents::is_shared(*message))
@@ -82,9 +82,9 @@
 
 void OutgoingProcess::send_welcome() {
   ServingProgram& program = context_.program;
-  successor_.send(
-      make_welcome(options_.wall_to_steady, program.cordon_list(), program.identifiers()),
-      context_.network.listener());
+  successor_.send(make_welcome(program.identifiers().wall_to_steady, program.cordon_list(),
+                               program.identifiers()),
+                  context_.network.listener());
   context_.log.line("hot-restart", "an incoming process has connected");
 }
 
@@ -125,6 +125,7 @@
       write_members(*view, transfer);
   }
   successor_.send(message, std::move(descriptors));
+  successor_.share_events(true);
 }
 
 // Now, and later each connection once it is between two requests.
--- a/src/hot_restart/outgoing_process.h
+++ b/src/hot_restart/outgoing_process.h
@@ -23,7 +23,7 @@
   }
 
  private:
-  void on_packet(const transport::Packet& packet);
+  void on_message(const ReceivedMessage& received);
   void carry_out(OutgoingOwnership::Action action);
   void send_welcome();
   void send_rejection();
--- a/src/hot_restart/process_context.h
+++ b/src/hot_restart/process_context.h
@@ -25,12 +25,13 @@
   std::string socket_path;  // of the local socket at which the other process is found
   DispatcherIdentity identity;
   transport::GioNetwork::Limits connection_limits;  // of one process that is alone
-  transport::Duration wall_to_steady{0};
   transport::Duration overload_window{0};
   transport::Duration slow_start{0};
   transport::Duration retry_budget_window{0};  // 0: there is no retry budget
   // Starts the talk with the other dispatchers.
   std::function<void(InheritedFleetState)> start_fleet_socket;
+  // Receives a line for each message between the processes; null: none.
+  std::function<void(const std::string&)> trace;
 
   // While there may be two processes, each connects to workers with half of the descriptors.
   transport::GioNetwork::Limits shared_limits(std::size_t accepted) const {
--- a/src/hot_restart/protocol.cpp
+++ b/src/hot_restart/protocol.cpp
@@ -66,6 +66,12 @@
   return message;
 }
 
+std::string name_of(const std::optional<Message>& message) {
+  if (!message || message->kind_case() == Message::KIND_NOT_SET)
+    return "unreadable message";
+  return Message::descriptor()->FindFieldByNumber(message->kind_case())->message_type()->name();
+}
+
 Message make_hello(const DispatcherIdentity& self) {
   Message message;
   Hello& hello = *message.mutable_hello();
--- a/src/hot_restart/protocol.h
+++ b/src/hot_restart/protocol.h
@@ -20,6 +20,8 @@
 
 // Nothing: `bytes` are no message.
 std::optional<Message> read_message(const std::string& bytes);
+// As the protocol names its kind, for the trace.
+std::string name_of(const std::optional<Message>& message);
 
 Message make_hello(const DispatcherIdentity& self);
 Message make_rejection(const std::string& reason);
--- a/src/hot_restart/shared_events.cpp
+++ b/src/hot_restart/shared_events.cpp
@@ -4,6 +4,15 @@
 
 namespace dispatcher::hot_restart {
 
+namespace {
+
+void send_shared(ProcessLink& link, const Message& message) {
+  if (link.shares_events())
+    link.send(message);
+}
+
+}  // namespace
+
 SharedEvents::SharedEvents(ServingProgram& program, ProcessLink& predecessor,
                            ProcessLink& successor, operations::Log& log)
     : program_(program), predecessor_(predecessor), successor_(successor), log_(log) {
@@ -15,7 +24,7 @@
     send_to_all(make_cordon_call(uid, cordoned));
   });
   program_.router().on_request_accepted([this](scheduling::RequestId id) {
-    if (predecessor_.is_up() || successor_.is_up())
+    if (predecessor_.shares_events() || successor_.shares_events())
       send_to_all(make_request_accepted(id));
   });
 }
@@ -41,7 +50,7 @@
   } else if (message.has_cordon_call()) {
     program_.apply_cordon(message.cordon_call().uid(), message.cordon_call().cordoned());
     ProcessLink& other = &sender == &predecessor_ ? successor_ : predecessor_;
-    other.send(message);
+    send_shared(other, message);
   } else {
     on_job_event(sender, message.job_event_forward());
   }
@@ -64,7 +73,8 @@
 
 // False: there is no other process.
 bool SharedEvents::forward_job_event(std::string_view body, std::function<void(bool)> notify) {
-  int receipts_awaited = (predecessor_.is_up() ? 1 : 0) + (successor_.is_up() ? 1 : 0);
+  int receipts_awaited =
+      (predecessor_.shares_events() ? 1 : 0) + (successor_.shares_events() ? 1 : 0);
   if (receipts_awaited == 0)
     return false;
   ++last_number_;
@@ -93,8 +103,8 @@
 }
 
 void SharedEvents::send_to_all(const Message& message) {
-  predecessor_.send(message);
-  successor_.send(message);
+  send_shared(predecessor_, message);
+  send_shared(successor_, message);
 }
 
 }  // namespace dispatcher::hot_restart
--- a/src/hot_restart/shared_events.h
+++ b/src/hot_restart/shared_events.h
@@ -1,5 +1,8 @@
 // What both processes of a hot restart tell each other while they live side by side: ids of
 // accepted requests, job events for requests of the other process, operators' cordon calls.
+//
+// Nothing of it goes to an incoming process before OwnershipTransfer, which carries what was
+// before: until then that process holds no request, and may be waiting for Welcome.
 #pragma once
 
 #include <cstdint>
--- a/src/program/dispatcher_process.cpp
+++ b/src/program/dispatcher_process.cpp
@@ -66,6 +66,7 @@
 DispatcherProcess::DispatcherProcess(const features::Features& features,
                                      const ProcessOptions& options)
     : features_(features),
+      traces_(options.trace),
       wall_to_steady_(measure_wall_to_steady()),
       config_(read_start_config()),
       loop_(deadlines_, clock_),
@@ -79,7 +80,7 @@
       app_(config_, features_, network_, deadlines_, clock_, log_) {
   loop_.after_sockets([this] { return network_.serve_bulk(); });
   handle_signals();
-  if (options.trace)
+  if (traces_)
     app_.trace();
 }
 
@@ -93,6 +94,12 @@
   };
 }
 
+std::function<void(const std::string&)> DispatcherProcess::write_trace() {
+  return [this](const std::string& text) {
+    log_.trace(text);
+  };
+}
+
 // Null without an address for operators.
 std::unique_ptr<transport::GioNetwork> DispatcherProcess::make_operators_network() {
   if (config_.ops.empty())
@@ -144,8 +151,9 @@
 void DispatcherProcess::reload() {
   exchange_keys();
   try {
-    app_.reload(read_config_file(environment("ROUTER_CONFIG"), environment, wall_to_steady_,
-                                 Occasion::Reload, app_.in_force()));
+    app_.reload(read_config_file(environment("ROUTER_CONFIG"), environment,
+                                 app_.identifiers().wall_to_steady, Occasion::Reload,
+                                 app_.in_force()));
   } catch (const std::exception& error) {
     app_.reload_failed(error.what());
   }
@@ -199,13 +207,14 @@
   return {.socket_path = local_socket_path_,
           .identity = {config_.name, config_.listen},
           .connection_limits = {shares_.accepted, shares_.connected},
-          .wall_to_steady = wall_to_steady_,
           .overload_window = settings.overload_window,
           .slow_start = settings.slow_start_duration,
           .retry_budget_window = settings.retry_budget_window.value_or(transport::Duration(0)),
-          .start_fleet_socket = [this](hot_restart::InheritedFleetState inherited) {
-            start_fleet_socket(std::move(inherited));
-          }};
+          .start_fleet_socket =
+              [this](hot_restart::InheritedFleetState inherited) {
+                start_fleet_socket(std::move(inherited));
+              },
+          .trace = traces_ ? write_trace() : nullptr};
 }
 
 // Without it the dispatcher serves on, only without gossip.
@@ -236,7 +245,7 @@
   options.forget = std::chrono::seconds(fleet.forget_s());
   options.seeds.assign(fleet.seed().begin(), fleet.seed().end());
   options.advertise = fleet.advertise();
-  options.to_wall = -wall_to_steady_;
+  options.to_wall = -app_.identifiers().wall_to_steady;
   if (fleet.has_key_file())
     options.keys = fleet::read_keys_file(fleet.key_file());
   return options;
--- a/src/program/dispatcher_process.h
+++ b/src/program/dispatcher_process.h
@@ -37,6 +37,7 @@
   std::unique_ptr<transport::GioNetwork> make_operators_network();
   hot_restart::Options hot_restart_options();
   std::function<void(const std::string&)> log_socket_fault();
+  std::function<void(const std::string&)> write_trace();
   void handle_signals();
   void reload();
   void exchange_keys();
@@ -46,8 +47,9 @@
   fleet::FleetSocket::Options fleet_options(hot_restart::InheritedFleetState& inherited) const;
 
   const features::Features& features_;
-  transport::Duration wall_to_steady_;
-  Config config_;  // as at the start
+  bool traces_;
+  transport::Duration wall_to_steady_;  // as at the start; see App::inherit_endpoints()
+  Config config_;                       // as at the start
   transport::SteadyClock clock_;
   transport::Deadlines deadlines_;
   transport::Loop loop_;
