Apply a Welcome that comes late as a whole, list and clock offset too

Cause: IncomingProcess::on_welcome() applied cordons and listener only; the list and wall_to_steady were read where the Welcome had come before the program was built.

Change: one path for every Welcome, App::inherit_endpoints(). A newer list replaces the own one and moves the watch to its revision; otherwise the own list's start times move by the difference of the offsets. The offset has one place, the identifier tables, that SIGHUP, the fleet socket and the next Welcome read.

--- a/src/hot_restart/incoming_process.cpp
+++ b/src/hot_restart/incoming_process.cpp
@@ -100,12 +100,20 @@
   }
 }
 
+// The same for a Welcome before the program was built, which then has the list already, and for one
+// that comes later.
 void IncomingProcess::on_welcome(const Welcome& welcome, Descriptors descriptors) {
   if (descriptors.size() != 1)
     return on_invalid_message();
+  Action action = ownership_.on_welcome();
+  if (action != Action::SendReady)
+    return carry_out(action);
   listener_ = std::move(descriptors[0]);
+  ServingProgram& program = context_.program;
+  program.inherit_endpoints(Duration(welcome.wall_to_steady()),
+                            read_endpoints(welcome, program.identifiers()));
   apply_cordons(welcome.cordons());
-  carry_out(ownership_.on_welcome());
+  carry_out(action);
 }
 
 void IncomingProcess::on_rejection() {
--- a/src/hot_restart/serving_program.h
+++ b/src/hot_restart/serving_program.h
@@ -30,6 +30,11 @@
   virtual fleet::FleetSocket* fleet_socket() = 0;  // null: no talk with other dispatchers
   virtual const protocol::IdentifierTables& identifiers() const = 0;
 
+  // Takes over the clock offset and the endpoint list of an outgoing process, unless the own list
+  // is newer.
+  virtual void inherit_endpoints(scheduling::Duration wall_to_steady,
+                                 const protocol::EndpointUpdate& list) = 0;
+
   // False: another process still serves, and the health check of this one answers no.
   virtual void set_serving(bool serving) = 0;
   // Passes on what a change of the cordon list returned.
--- a/src/http/discovery_client.h
+++ b/src/http/discovery_client.h
@@ -25,8 +25,8 @@
   void attach(Changed changed) { changed_ = std::move(changed); }
   // Receives a line for each poll and for each update.
   void trace(std::function<void(const std::string&)> trace) { trace_ = std::move(trace); }
-  // To be called before the first watch(), with the revision of a cached endpoint list: the watch
-  // goes on from there.
+  // With the revision of an endpoint list that did not come from here: the watch goes on from
+  // there.
   void hold(std::int64_t revision) { revision_ = revision; }
   // Watches another address from now on.
   void move(const std::string& address);
--- a/src/operations/cordon_list.cpp
+++ b/src/operations/cordon_list.cpp
@@ -63,6 +63,17 @@
   return update;
 }
 
+EndpointUpdate CordonList::with_start_times_moved(scheduling::Duration shift) const {
+  EndpointUpdate moved{revision_, true, {}};
+  for (const auto& [uid, worker] : listed_) {
+    moved.entries.push_back(worker);
+    std::optional<Time>& online_since = moved.entries.back().entry.online_since;
+    if (online_since)
+      *online_since += shift;
+  }
+  return moved;
+}
+
 EndpointUpdate CordonList::hold_warming_up(std::optional<Time> since) {
   cold_since_ = since;
   return full_update();
--- a/src/operations/cordon_list.h
+++ b/src/operations/cordon_list.h
@@ -23,6 +23,8 @@
   // By uid, without removed workers.
   const std::map<std::string, protocol::WorkerEndpoint>& listed() const { return listed_; }
   std::int64_t revision() const { return revision_; }
+  // The endpoint list as it is, with every start time moved by `shift`.
+  protocol::EndpointUpdate with_start_times_moved(scheduling::Duration shift) const;
 
   // During a hot restart, workers that started after `since` are left to the other process, since
   // its requests there are not known here. Nothing ends that. Returns the update for the scheduler.
--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -186,14 +186,32 @@
       client_server_.set_ready();
     return router_.on_endpoint_update(kind, {});
   }
+  client_server_.set_ready();
+  apply_endpoints(kind, update);
+}
+
+void App::apply_endpoints(EndpointUpdateKind kind, const protocol::EndpointUpdate& update) {
   protocol::EndpointUpdate visible = cordon_list_.apply(update);
   workers_.update(visible);
-  client_server_.set_ready();
   router_.on_endpoint_update(kind, entries_of(visible));
   workers_.recall();
   announce_workers();
 }
 
+// The own list, where it is newer, gets its start times anew: by another offset the scheduler would
+// take every worker for restarted at the next update.
+void App::inherit_endpoints(Duration wall_to_steady, const protocol::EndpointUpdate& list) {
+  Duration shift = wall_to_steady - config_.words.wall_to_steady;
+  config_.words.wall_to_steady = wall_to_steady;
+  bool is_newer = cordon_list_.listed().empty() || list.revision > cordon_list_.revision();
+  if (is_newer && !list.entries.empty()) {
+    discovery_.hold(list.revision);
+    apply_endpoints(EndpointUpdateKind::Cached, list);
+  } else if (shift.count() != 0 && !cordon_list_.listed().empty()) {
+    apply_endpoints(EndpointUpdateKind::Cached, cordon_list_.with_start_times_moved(shift));
+  }
+}
+
 void App::apply_endpoint_update(const protocol::EndpointUpdate& update) {
   if (update.entries.empty())
     return;
--- a/src/program/app.h
+++ b/src/program/app.h
@@ -69,6 +69,8 @@
   hot_restart::AdoptedRequests& adopted_requests() override { return adopted_requests_; }
   FleetSocket* fleet_socket() override { return fleet_socket_; }
   const protocol::IdentifierTables& identifiers() const override { return config_.words; }
+  void inherit_endpoints(scheduling::Duration wall_to_steady,
+                         const protocol::EndpointUpdate& list) override;
   void set_serving(bool serving) override { serving_ = serving; }
   void apply_endpoint_update(const protocol::EndpointUpdate& update) override;
   bool apply_cordon(const std::string& worker, bool cordoned) override;
@@ -79,6 +81,7 @@
  private:
   bool call_cordon(const std::string& worker, bool cordoned);
   void announce_workers();
+  void apply_endpoints(scheduling::EndpointUpdateKind kind, const protocol::EndpointUpdate& update);
   void on_endpoint_update(scheduling::EndpointUpdateKind kind,
                           const protocol::EndpointUpdate& update);
   void log_reload(const Config& next, bool settings_changed) const;
--- a/tests/hot_restart/link_order_test.cpp
+++ b/tests/hot_restart/link_order_test.cpp
@@ -99,6 +99,38 @@
   CHECK(s.begun().count("00000000000f0001") == 0);
 }
 
+// Guards against a Welcome whose list and clock offset are dropped because it came after the first
+// second.
+TEST_CASE("a Welcome that comes late counts like one in time") {
+  IncomingScene s;
+  auto started = std::async(std::launch::async, [&] { return s.dispatcher.start_hot_restart(); });
+  LinkPeer peer = s.stub->accept();
+  s.until([&] { return s.logged("knows 0 workers"); });
+  peer.send(hot_restart::make_request_accepted(0xf0001));
+  peer.send(s.welcome(3), s.listen_for_clients());
+  s.transfer_ownership(peer);
+  REQUIRE(started.get());
+  s.check_serves();
+  hot_restart::Welcome next = s.welcome_of_program();
+  CHECK(next.wall_to_steady() == kOutgoingOffsetMs);
+  CHECK(next.endpoints_size() == 3);
+  CHECK(next.revision() == 1);
+}
+
+// Guards against a Welcome that is only half applied after the first link has ended.
+TEST_CASE("a Welcome to a process that asks again counts like the first") {
+  IncomingScene s;
+  auto started = std::async(std::launch::async, [&] { return s.dispatcher.start_hot_restart(); });
+  std::optional<LinkPeer> first = s.stub->accept();
+  first.reset();
+  LinkPeer peer = s.stub->accept();
+  peer.send(s.welcome(3), s.listen_for_clients());
+  s.transfer_ownership(peer);
+  REQUIRE(started.get());
+  s.check_serves();
+  CHECK(s.welcome_of_program().wall_to_steady() == kOutgoingOffsetMs);
+}
+
 // Guards against events that reach an incoming process before Welcome, and against a worker's call
 // that waits for a receipt of a process which does not serve yet.
 TEST_CASE(
