Take over in a hot restart only once an endpoint list is known

Cause: IncomingProcess answered Welcome with Ready at once. The health check waited for discovery, the accepting of connections did not.

Change: Ready goes out when a list is known (App::can_serve()), else with discovery's first answer; the outgoing process serves until then. One that ends meanwhile leaves a process that serves alone, as after a plain start.

--- a/src/hot_restart/incoming_process.cpp
+++ b/src/hot_restart/incoming_process.cpp
@@ -53,7 +53,9 @@
       context_(context),
       predecessor_(predecessor),
       shared_events_(shared_events),
-      callbacks_(std::move(callbacks)) {}
+      callbacks_(std::move(callbacks)) {
+  context_.program.on_able_to_serve([this] { send_ready(); });
+}
 
 void IncomingProcess::start(std::optional<OutgoingProcessContact> contact) {
   if (!contact)
@@ -184,7 +186,8 @@
     case Action::None:
       return;
     case Action::SendReady:
-      return predecessor_.send(make_ready());
+      ready_is_due_ = true;
+      return send_ready();
     case Action::Serve:
     case Action::ServeAlone:
       return serve();
@@ -196,6 +199,18 @@
   }
 }
 
+// Not before an endpoint list is known: the outgoing process serves until then.
+void IncomingProcess::send_ready() {
+  if (!ready_is_due_)
+    return;
+  if (!context_.program.can_serve()) {
+    context_.log.line("hot-restart", "waits for an endpoint list before it takes over");
+    return;
+  }
+  ready_is_due_ = false;
+  predecessor_.send(make_ready());
+}
+
 void IncomingProcess::close_link() {
   context_.log.line("hot-restart", "malformed message from the outgoing process");
   predecessor_.close();
@@ -228,6 +243,7 @@
 }
 
 void IncomingProcess::on_link_ended() {
+  ready_is_due_ = false;
   shared_events_.fail_forwarded();
   if (is_serving())
     lift_connection_limits();
--- a/src/hot_restart/incoming_process.h
+++ b/src/hot_restart/incoming_process.h
@@ -54,6 +54,7 @@
   void on_adopted_request(const AdoptedRequest& request, Descriptors descriptors);
   void on_invalid_message() { carry_out(ownership_.on_invalid_message()); }
   void carry_out(IncomingOwnership::Action action);
+  void send_ready();
   void close_link();
   void ask_again();
   void serve();
@@ -71,6 +72,7 @@
   IncomingOwnership ownership_;
   transport::Descriptor listener_;       // of the outgoing process, until this one serves
   InheritedFleetState inherited_fleet_;  // likewise
+  bool ready_is_due_ = false;            // Welcome is here, and Ready not sent yet
   std::size_t accepted_limit_ = 0;
 };
 
--- a/src/hot_restart/ownership.h
+++ b/src/hot_restart/ownership.h
@@ -56,7 +56,7 @@
  public:
   enum class State {
     Asking,         // Hello is sent, or could not be sent yet
-    AwaitTransfer,  // Ready is sent
+    AwaitTransfer,  // Welcome is here; Ready is sent, or will be once this process can serve
     Serving         // accepts connections
   };
   enum class Action { None, SendReady, Serve, ServeAlone, AskAgain, CloseLink };
--- a/src/hot_restart/serving_program.h
+++ b/src/hot_restart/serving_program.h
@@ -34,6 +34,10 @@
   // is newer.
   virtual void inherit_endpoints(scheduling::Duration wall_to_steady,
                                  const protocol::EndpointUpdate& list) = 0;
+  // True: an endpoint list is known, so that requests can be dispatched.
+  virtual bool can_serve() const = 0;
+  // For the moment in which can_serve() becomes true by an answer of discovery.
+  virtual void on_able_to_serve(std::function<void()> callback) = 0;
 
   // False: another process still serves, and the health check of this one answers no.
   virtual void set_serving(bool serving) = 0;
--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -186,8 +186,11 @@
       client_server_.set_ready();
     return router_.on_endpoint_update(kind, {});
   }
+  bool could_serve = can_serve();
   client_server_.set_ready();
   apply_endpoints(kind, update);
+  if (!could_serve && on_able_to_serve_)
+    on_able_to_serve_();
 }
 
 void App::apply_endpoints(EndpointUpdateKind kind, const protocol::EndpointUpdate& update) {
--- a/src/program/app.h
+++ b/src/program/app.h
@@ -71,6 +71,12 @@
   const protocol::IdentifierTables& identifiers() const override { return config_.words; }
   void inherit_endpoints(scheduling::Duration wall_to_steady,
                          const protocol::EndpointUpdate& list) override;
+  bool can_serve() const override {
+    return client_server_.ready() || !cordon_list_.listed().empty();
+  }
+  void on_able_to_serve(std::function<void()> callback) override {
+    on_able_to_serve_ = std::move(callback);
+  }
   void set_serving(bool serving) override { serving_ = serving; }
   void apply_endpoint_update(const protocol::EndpointUpdate& update) override;
   bool apply_cordon(const std::string& worker, bool cordoned) override;
@@ -106,6 +112,7 @@
   std::optional<transport::Time> idle_since_;  // nothing is open any more
   bool finished_ = false;
   bool serving_ = true;
+  std::function<void()> on_able_to_serve_;
   OnCordonCall on_cordon_call_;
   OnLastCall on_last_call_;
   hot_restart::RetryBudgetLimit retry_budget_limit_ = hot_restart::RetryBudgetLimit::Unlimited;
--- a/tests/hot_restart/link_order_test.cpp
+++ b/tests/hot_restart/link_order_test.cpp
@@ -131,6 +131,21 @@
   CHECK(s.welcome_of_program().wall_to_steady() == kOutgoingOffsetMs);
 }
 
+// Guards against an incoming process that takes over before it can dispatch a request.
+TEST_CASE("an incoming process without an endpoint list does not say that it is ready") {
+  IncomingScene s;
+  auto started = std::async(std::launch::async, [&] { return s.dispatcher.start_hot_restart(); });
+  LinkPeer peer = s.stub->accept();
+  peer.send(s.welcome(0), s.listen_for_clients());
+  s.until([&] { return s.logged("a poll failed"); });
+  CHECK(testbed::call(s.dispatcher.operators(), "GET", "/admin/health").status == 503);
+  CHECK_FALSE(peer.receive(transport::Duration(0)));
+  s.fleet.set_fault(DiscoveryFault{});
+  s.transfer_ownership(peer);
+  REQUIRE(started.get());
+  s.check_serves();
+}
+
 // Guards against events that reach an incoming process before Welcome, and against a worker's call
 // that waits for a receipt of a process which does not serve yet.
 TEST_CASE(
