--- a/testbed/main.cpp
+++ b/testbed/main.cpp
@@ -8,6 +8,7 @@
 #include "testbed/program/log_search.h"
 #include "testbed/program/scenario_file.h"
 #include "testbed/program/scenario_run.h"
+#include "testbed/soak/soak_run.h"
 
 namespace {
 
@@ -27,6 +28,57 @@
   std::string config = "examples/config.json";
 };
 
+struct SoakOptions {
+  SoakSetup setup{
+      .program = "build/dispatcher", .earlier_program = "", .config = "examples/config.json"};
+  std::uint64_t seed = 1;
+  int seeds = 1;
+  int rounds = 4;
+};
+
+CLI::App* add_soak_command(CLI::App& app, SoakOptions& options) {
+  CLI::App* command = app.add_subcommand(
+      "soak", "restarts, signals and faults drawn from a seed; exit 1 where a rule was broken");
+  command->add_option("--seed", options.seed, "of all that is drawn; the first of --seeds");
+  command->add_option("--seeds", options.seeds, "so many seeds in turn");
+  command->add_option("--rounds", options.rounds, "of each seed");
+  command->add_option("--program", options.setup.program, "build/dispatcher");
+  command->add_option("--earlier-program", options.setup.earlier_program,
+                      "one of an earlier version, started in turn with it");
+  command->add_option("--config", options.setup.config, "examples/config.json");
+  return command;
+}
+
+void print_totals(const LedgerTotals& totals) {
+  std::printf(
+      "          %llu requests: %llu served, %llu rejected, %llu failed, %llu left, %llu resent\n",
+      static_cast<unsigned long long>(totals.requests),
+      static_cast<unsigned long long>(totals.served),
+      static_cast<unsigned long long>(totals.rejected),
+      static_cast<unsigned long long>(totals.failed), static_cast<unsigned long long>(totals.left),
+      static_cast<unsigned long long>(totals.resent));
+}
+
+// Returns whether every rule was kept.
+bool run_soak(const SoakOptions& options) {
+  int failed = 0;
+  for (int i = 0; i < options.seeds; ++i) {
+    std::uint64_t seed = options.seed + static_cast<std::uint64_t>(i);
+    std::printf("seed %llu\n", static_cast<unsigned long long>(seed));
+    bool has_earlier = !options.setup.earlier_program.empty();
+    SoakRun soak(options.setup, draw_soak_plan(seed, options.rounds, has_earlier));
+    std::vector<Violation> violations = soak.run();
+    for (const Violation& violation : violations) {
+      std::printf("seed %llu broken: %s: %s\n", static_cast<unsigned long long>(seed),
+                  violation.rule.c_str(), violation.detail.c_str());
+    }
+    print_totals(soak.totals());
+    failed += violations.empty() ? 0 : 1;
+  }
+  std::printf("%d seeds passed, %d failed\n", options.seeds - failed, failed);
+  return failed == 0;
+}
+
 CLI::App* add_follow_command(CLI::App& app, FollowOptions& options) {
   CLI::App* command =
       app.add_subcommand("follow", "what a run's logs say of one order or member; exit 1: nothing");
@@ -90,9 +142,13 @@
   RunOptions run_options;
   CLI::App* follow = add_follow_command(app, follow_options);
   add_run_command(app, run_options);
+  SoakOptions soak_options;
+  CLI::App* soak = add_soak_command(app, soak_options);
   CLI11_PARSE(app, argc, argv);
   if (follow->parsed())
     return print_log_lines(follow_options.folder, follow_options.id) > 0 ? 0 : 1;
+  if (soak->parsed())
+    return run_soak(soak_options) ? 0 : 1;
   return run_scenario(run_options) ? 0 : 1;
 } catch (const std::invalid_argument& error) {  // "FILE:LINE:COLUMN: FAULT", as editors read it
   std::fprintf(stderr, "%s\n", error.what());
--- /dev/null
+++ b/testbed/soak/request_ledger.cpp
@@ -0,0 +1,146 @@
+#include "testbed/soak/request_ledger.h"
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+
+namespace dispatcher::testbed {
+namespace {
+
+constexpr double kAnswerGraceMs = 500;  // later than that after its time a request is lost
+constexpr double kLeaveGraceMs = 100;   // no attempt may begin later after its client has left
+constexpr int kOk = 200;
+constexpr int kFirstClientError = 400;
+constexpr int kTooManyRequests = 429;
+constexpr int kFirstServerError = 500;
+constexpr int kServiceUnavailable = 503;
+
+std::string id_text(std::uint64_t id) {
+  std::array<char, 17> text{};
+  std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(id));
+  return text.data();
+}
+
+bool is_rejection(int status) {
+  return status == kTooManyRequests || status == kServiceUnavailable;
+}
+
+bool is_client_error(int status) {
+  return status >= kFirstClientError && status < kFirstServerError && !is_rejection(status);
+}
+
+using AttemptsById = std::map<std::string, std::vector<ReceivedAttempt>>;
+
+class RequestJudge {
+ public:
+  RequestJudge(const RequestRecord& record, const AttemptsById& attempts)
+      : record_(record), id_(id_text(record.id)) {
+    auto it = attempts.find(id_);
+    if (it == attempts.end())
+      return;
+    for (const ReceivedAttempt& attempt : it->second) {
+      if (attempt.begun)
+        begun_.push_back(attempt);
+    }
+  }
+
+  std::vector<Violation> judge() {
+    if (begun_.size() > 1)
+      add("begun twice", "at " + begun_[0].uid + " and " + begun_[1].uid);
+    if (record_.left) {
+      judge_left();
+    } else {
+      judge_answer();
+    }
+    return std::move(violations_);
+  }
+
+ private:
+  void judge_left() {
+    for (const ReceivedAttempt& attempt : begun_) {
+      if (attempt.begun_ms > record_.ended_ms + kLeaveGraceMs)
+        add("begun after its client left", std::to_string(attempt.begun_ms - record_.ended_ms));
+    }
+  }
+
+  void judge_answer() {
+    const ClientResponse& response = record_.response;
+    double after_ms = record_.ended_ms - record_.sent_ms;
+    if (response.status == 0 || !response.whole)
+      return add("lost", begun_.empty() ? "not begun" : "begun");
+    if (after_ms > record_.time_left_ms + kAnswerGraceMs)
+      add("lost", "answered late");
+    if (is_client_error(response.status))
+      add("lost", "answered as a duplicate or malformed");
+    if (is_rejection(response.status) && !begun_.empty())
+      add("rejected, and begun", "");
+    if (response.status == kOk && response.body != response.sent_sha)
+      add("served with a body of nobody's", "");
+    if (response.status == kOk && begun_.empty())
+      add("served, and never begun", "");
+    bool excused = record_.may_be_rejected && is_rejection(response.status);
+    if (response.status != kOk && record_.success_expected && !excused)
+      add("not served without a cause", "");
+  }
+
+  void add(const std::string& rule, const std::string& detail) {
+    std::array<char, 160> text{};
+    std::snprintf(text.data(), text.size(), "%s: status %d, sent at %.1f, ended at %.1f%s; %s",
+                  id_.c_str(), record_.response.status, record_.sent_ms, record_.ended_ms,
+                  record_.resent ? ", resent" : "", detail.c_str());
+    violations_.push_back(
+        {rule, std::string(text.data()) + " " + record_.response.body.substr(0, 80)});
+  }
+
+  const RequestRecord& record_;
+  std::string id_;
+  std::vector<ReceivedAttempt> begun_;
+  std::vector<Violation> violations_;
+};
+
+}  // namespace
+
+double steady_ms() {
+  return std::chrono::duration<double, std::milli>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+void RequestLedger::add(const RequestRecord& record) {
+  std::lock_guard lock(mutex_);
+  records_.push_back(record);
+}
+
+LedgerTotals RequestLedger::totals() const {
+  std::lock_guard lock(mutex_);
+  LedgerTotals totals;
+  for (const RequestRecord& record : records_) {
+    ++totals.requests;
+    totals.resent += record.resent;
+    if (record.left) {
+      ++totals.left;
+    } else if (record.response.status == kOk) {
+      ++totals.served;
+    } else if (is_rejection(record.response.status)) {
+      ++totals.rejected;
+    } else {
+      ++totals.failed;
+    }
+  }
+  return totals;
+}
+
+std::vector<Violation> RequestLedger::judge(const std::vector<ReceivedAttempt>& attempts) const {
+  std::lock_guard lock(mutex_);
+  AttemptsById by_id;
+  for (const ReceivedAttempt& attempt : attempts)
+    by_id[attempt.id].push_back(attempt);
+  std::vector<Violation> violations;
+  for (const RequestRecord& record : records_) {
+    for (Violation& violation : RequestJudge(record, by_id).judge())
+      violations.push_back(std::move(violation));
+  }
+  return violations;
+}
+
+}  // namespace dispatcher::testbed
--- /dev/null
+++ b/testbed/soak/soak_plan.cpp
@@ -0,0 +1,116 @@
+#include "testbed/soak/soak_plan.h"
+
+#include <array>
+#include <random>
+
+namespace dispatcher::testbed {
+namespace {
+
+constexpr int kWorkers = 3;
+
+class Draw {
+ public:
+  explicit Draw(std::uint64_t seed) : random_(seed) {}
+
+  // Between `low` and `high`, both included.
+  int number(int low, int high) {
+    return low + static_cast<int>(random_() % static_cast<std::uint64_t>(high - low + 1));
+  }
+  std::chrono::milliseconds ms(int low, int high) {
+    return std::chrono::milliseconds(number(low, high));
+  }
+  bool one_in(int count) { return number(1, count) == 1; }
+  template <class Value, std::size_t kSize>
+  Value one_of(const std::array<Value, kSize>& values) {
+    return values.at(static_cast<std::size_t>(number(0, static_cast<int>(kSize) - 1)));
+  }
+
+ private:
+  std::mt19937_64 random_;
+};
+
+DiscoveryFault draw_discovery_fault(Draw& draw) {
+  switch (draw.number(1, 6)) {
+    case 1:
+      return {.kind = DiscoveryFault::Down};
+    case 2:
+      return {.kind = DiscoveryFault::Slow, .amount = draw.number(20, 600)};
+    case 3:  // silent, for as long as a call is waited for
+      return {.kind = DiscoveryFault::Slow, .amount = draw.number(2000, 4000)};
+    default:
+      return {};
+  }
+}
+
+SoakRound draw_round(Draw& draw, bool has_earlier) {
+  static constexpr std::array kEvents{SoakEvent::HotRestart, SoakEvent::HotRestart,
+                                      SoakEvent::HotRestart, SoakEvent::HotRestartTerminatedEarly,
+                                      SoakEvent::Restart,    SoakEvent::Reload};
+  static constexpr std::array kFaults{WorkerFault::None, WorkerFault::None, WorkerFault::None,
+                                      WorkerFault::Hang, WorkerFault::Fail};
+  SoakRound round;
+  round.event = draw.one_of(kEvents);
+  round.calm = draw.ms(0, 300);
+  bool earlier = draw.one_in(2);
+  round.earlier_program = has_earlier && earlier;
+  round.crowd = draw.one_in(4);
+  round.leaving_clients = draw.one_in(3);
+  round.upload_resets = draw.one_in(4);
+  round.worker_fault = draw.one_of(kFaults);
+  round.faulty_worker = draw.number(0, kWorkers - 1);
+  round.discovery_fault = draw_discovery_fault(draw);
+  round.discovery_fault_lasts = draw.ms(100, 1500);
+  round.hangups = draw.one_in(2) ? draw.number(1, 6) : 0;
+  round.terminations = draw.number(1, 3);
+  round.signal_gap = draw.ms(0, 20);
+  round.termination_delay = draw.ms(0, 40);
+  round.balancer_notices = draw.ms(200, 400);
+  return round;
+}
+
+const char* name_of(SoakEvent event) {
+  switch (event) {
+    case SoakEvent::HotRestart:
+      return "hot restart";
+    case SoakEvent::HotRestartTerminatedEarly:
+      return "hot restart, SIGTERM early";
+    case SoakEvent::Restart:
+      return "restart";
+    case SoakEvent::Reload:
+      return "reload";
+  }
+  return "";
+}
+
+const char* name_of(WorkerFault fault) {
+  return fault == WorkerFault::Hang ? ", a worker hangs" : ", a worker fails";
+}
+
+}  // namespace
+
+SoakPlan draw_soak_plan(std::uint64_t seed, int rounds, bool has_earlier) {
+  Draw draw(seed);
+  SoakPlan plan{.seed = seed, .rounds = {}};
+  for (int i = 0; i < rounds; ++i)
+    plan.rounds.push_back(draw_round(draw, has_earlier));
+  return plan;
+}
+
+std::string describe(const SoakRound& round) {
+  std::string text = name_of(round.event);
+  text += round.earlier_program ? ", to the earlier program" : "";
+  text += round.crowd ? ", a crowd" : "";
+  text += round.leaving_clients ? ", clients leave" : "";
+  text += round.upload_resets ? ", resets" : "";
+  if (round.worker_fault != WorkerFault::None)
+    text += name_of(round.worker_fault);
+  if (round.discovery_fault.kind == DiscoveryFault::Down)
+    text += ", discovery is down";
+  if (round.discovery_fault.kind == DiscoveryFault::Slow)
+    text += ", discovery takes " + std::to_string(round.discovery_fault.amount) + " ms";
+  if (round.hangups > 0)
+    text += ", SIGHUP x" + std::to_string(round.hangups);
+  return text;
+}
+
+}  // namespace dispatcher::testbed
--- a/testbed/stubs/dispatcher_process.cpp
+++ b/testbed/stubs/dispatcher_process.cpp
@@ -31,6 +31,8 @@
 
 constexpr int kReadinessPolls = 2000;
 constexpr std::chrono::milliseconds kReadinessPollInterval{10};
+constexpr std::chrono::milliseconds kEndPollInterval{5};
+constexpr double kEarliestKillMs = 3700;  // after SIGTERM, with deadlines of 3 s or more
 
 // Merges `changes` into `target`, object by object.
 void merge(Json::Value& target, const Json::Value& changes) {
@@ -48,14 +50,24 @@
   waitpid(pid, nullptr, 0);
 }
 
-// Returns the exit code, 128 + the signal's number for a process that a signal ended.
-int terminate_and_wait(int& pid) {
+// 128 + the signal's number for a process that a signal ended.
+int exit_code_of(int status) {
   static constexpr int kSignalExitBase = 128;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : kSignalExitBase + WTERMSIG(status);
+}
+
+int terminate_and_wait(int& pid) {
   int status = 0;
   kill(pid, SIGTERM);
   waitpid(pid, &status, 0);
   pid = -1;
-  return WIFEXITED(status) ? WEXITSTATUS(status) : kSignalExitBase + WTERMSIG(status);
+  return exit_code_of(status);
+}
+
+double steady_now_ms() {
+  return std::chrono::duration<double, std::milli>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
 }
 
 bool answers_ok(const std::string& address, const std::string& path) {
@@ -239,6 +251,32 @@
   return terminate_and_wait(outgoing_pid_);
 }
 
+DispatcherProcess::Ended DispatcherProcess::terminate_in_series(Which which, int times,
+                                                                std::chrono::milliseconds gap) {
+  double terminated_ms = steady_now_ms();
+  for (int i = 0; i < times; ++i) {
+    kill(pid_of(which), SIGTERM);
+    std::this_thread::sleep_for(gap);
+  }
+  return await_end(which, terminated_ms);
+}
+
+DispatcherProcess::Ended DispatcherProcess::await_end(Which which, double terminated_ms) {
+  Ended ended;
+  int& pid = pid_of(which);
+  int status = 0;
+  while (waitpid(pid, &status, WNOHANG) == 0) {
+    if (!ended.killed && steady_now_ms() > terminated_ms + kEarliestKillMs) {
+      ended.killed = true;
+      kill(pid, SIGKILL);
+    }
+    std::this_thread::sleep_for(kEndPollInterval);
+  }
+  pid = -1;
+  ended.exit_code = exit_code_of(status);
+  return ended;
+}
+
 std::string DispatcherProcess::log() const {
   std::ifstream file(folder_ + "/log");
   return {std::istreambuf_iterator<char>(file), {}};
--- a/testbed/stubs/dispatcher_process.h
+++ b/testbed/stubs/dispatcher_process.h
@@ -1,6 +1,7 @@
 // The dispatcher itself, started as a process of its own and controlled by signals.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -47,6 +48,18 @@
   int end();
   // The same for the outgoing process of a hot restart.
   int terminate_outgoing();
+  enum class Which { Newest, Outgoing };
+  struct Ended {
+    int exit_code = 0;  // 128 + the signal's number for a process that a signal ended
+    bool killed = false;
+  };
+  // Sends SIGTERM in series. SIGKILL follows as early as the protocol allows, 3.7 s after the
+  // first.
+  Ended terminate_in_series(Which which, int times, std::chrono::milliseconds gap);
+  // The same for a process that got its SIGTERM at `terminated_ms` of the steady clock.
+  Ended await_end(Which which, double terminated_ms);
+  // What the next start runs.
+  void use_program(const std::string& program) { setup_.program = program; }
   // Ends with SIGKILL.
   void crash();
   // Starts the program after a crash or an end.
@@ -62,6 +75,7 @@
   // Where a started process is asked whether it is ready.
   enum class Readiness { ClientAddress, AdminAddress };
 
+  int& pid_of(Which which) { return which == Which::Newest ? pid_ : outgoing_pid_; }
   void write_configuration(StubServices& services);
   void start(Readiness readiness);
   void spawn();
--- a/testbed/stubs/stub_client.cpp
+++ b/testbed/stubs/stub_client.cpp
@@ -21,21 +21,6 @@
   return std::chrono::duration<double, std::milli>(Clock::now() - start).count();
 }
 
-std::string request_head(const ClientRequest& request) {
-  std::array<char, 17> id{};
-  std::snprintf(id.data(), id.size(), "%016llx", static_cast<unsigned long long>(request.id));
-  std::string head =
-      "POST /api?" + request.query + " HTTP/1.1\r\nHost: lab\r\nX-Correlation-Id: " + id.data() +
-      "\r\nX-Service-Class: " + request.job_class +
-      "\r\nX-Account: lanting-bento\r\nX-Time-Left-Ms: " + std::to_string(request.time_left_ms) +
-      "\r\n" + request.extra_headers;
-  if (request.job_class != "place-order")
-    head += std::string("Idempotency-Key: k") + id.data() + "\r\n";
-  head += request.chunked ? "Transfer-Encoding: chunked\r\n\r\n"
-                          : "Content-Length: " + std::to_string(request.upload) + "\r\n\r\n";
-  return head;
-}
-
 // Sends the upload until it is complete or a response comes first. Returns the digest of what was
 // sent.
 std::string send_upload(BlockingConnection& connection, const ClientRequest& request) {
@@ -93,6 +78,21 @@
 
 }  // namespace
 
+std::string request_head(const ClientRequest& request) {
+  std::array<char, 17> id{};
+  std::snprintf(id.data(), id.size(), "%016llx", static_cast<unsigned long long>(request.id));
+  std::string head =
+      "POST /api?" + request.query + " HTTP/1.1\r\nHost: lab\r\nX-Correlation-Id: " + id.data() +
+      "\r\nX-Service-Class: " + request.job_class +
+      "\r\nX-Account: lanting-bento\r\nX-Time-Left-Ms: " + std::to_string(request.time_left_ms) +
+      "\r\n" + request.extra_headers;
+  if (request.job_class != "place-order")
+    head += std::string("Idempotency-Key: k") + id.data() + "\r\n";
+  head += request.chunked ? "Transfer-Encoding: chunked\r\n\r\n"
+                          : "Content-Length: " + std::to_string(request.upload) + "\r\n\r\n";
+  return head;
+}
+
 ClientResponse submit_request(const std::string& address, const ClientRequest& request) {
   auto start = Clock::now();
   bool rate_limited = request.rate_up != 0 || request.rate_down != 0;
@@ -116,6 +116,10 @@
 
 PersistentClient::~PersistentClient() = default;
 
+bool PersistentClient::connected() const {
+  return connection_->socket.descriptor() >= 0;
+}
+
 ClientResponse PersistentClient::submit_request(const ClientRequest& request) {
   return exchange(connection_->socket, request, Clock::now());
 }
--- a/testbed/stubs/stub_client.h
+++ b/testbed/stubs/stub_client.h
@@ -37,6 +37,9 @@
   double head_ms = 0;   // until the end of the head
 };
 
+// The request's line and headers.
+std::string request_head(const ClientRequest& request);
+
 // Sends one request on a connection of its own. Blocks until the response is complete.
 ClientResponse submit_request(const std::string& address, const ClientRequest& request);
 
@@ -45,6 +48,8 @@
  public:
   explicit PersistentClient(const std::string& address);
   ~PersistentClient();
+  // False: the connection was refused.
+  bool connected() const;
   ClientResponse submit_request(const ClientRequest& request);
   // Sends raw bytes, of an incomplete request for example.
   void begin(const std::string& text);
--- a/testbed/stubs/stub_services.h
+++ b/testbed/stubs/stub_services.h
@@ -40,6 +40,7 @@
   int notified_watches() { return discovery_.notified_watches(); }
   long discovery_polls() const { return discovery_.polls(); }
   long rejected() const { return context_.log.rejected(); }
+  long repeated_events() const { return context_.log.repeated_events(); }
   int longest_queue() { return context_.log.longest_queue(); }
 
  private:
--- a/testbed/stubs/stub_worker.cpp
+++ b/testbed/stubs/stub_worker.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <chrono>
 #include <thread>
 #include <utility>
 
@@ -14,6 +15,8 @@
 // What a slow worker has not read yet waits at the dispatcher instead of in the socket's buffer.
 constexpr int kSlowSocketBufferBytes = 64 << 10;
 constexpr std::chrono::milliseconds kSlowFaultTime{500};
+constexpr int kMaximumEventCalls = 10;
+constexpr std::chrono::milliseconds kEventCallInterval{20};
 constexpr const char* kIdleLoadHeader = "X-Backend-Load: TEXT x0=64, q=0\r\n";
 constexpr const char* kUnprocessedHeader = "X-Unprocessed: 1\r\n";
 
@@ -25,6 +28,17 @@
   return R"({"id":")" + attempt.id + R"(","from":")" + attempt.uid + R"(","state":)" + rest + "}";
 }
 
+// Returns whether the dispatcher has taken the event.
+bool post_job_event(const std::string& address, const std::string& event) {
+  BlockingConnection connection(BlockingConnection::dial(address));
+  HttpHead response;
+  if (!connection.send("POST /_jobs/news HTTP/1.1\r\nContent-Length: " +
+                       std::to_string(event.size()) + "\r\n\r\n" + event) ||
+      !read_head(connection, response))
+    return false;
+  return status_code(response) / 100 == 2;
+}
+
 // Sets the thread and the socket up as the query asks.
 void apply_resources(const Query& query, int descriptor) {
   if (auto core = static_cast<int>(query_value(query, "core")); core != 0)
@@ -113,14 +127,14 @@
   auto port = query.find("back");
   std::string address = port == query.end() ? context_.callback_address
                                             : context_.host + ":" + std::to_string(port->second);
-  int descriptor = BlockingConnection::dial(address);
-  if (descriptor < 0)
-    return;
-  BlockingConnection connection(descriptor);
-  HttpHead response;
-  if (connection.send("POST /_jobs/news HTTP/1.1\r\nContent-Length: " +
-                      std::to_string(event.size()) + "\r\n\r\n" + event))
-    read_head(connection, response);
+  for (int calls = 0; calls < kMaximumEventCalls && !context_.stopping; ++calls) {
+    if (calls > 0) {
+      context_.log.note_repeated_event();
+      std::this_thread::sleep_for(kEventCallInterval);
+    }
+    if (post_job_event(address, event))
+      return;
+  }
 }
 
 void StubWorker::serve(int descriptor) {
@@ -185,6 +199,9 @@
     return received.bytes < stop;
   };
   received.begun = read_body(attempt.connection, head, query_value(attempt.query, "in"), consume);
+  received.begun_ms =
+      std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
+          .count();
   received.sha = sha.hex();
 }
 
--- a/testbed/stubs/stub_worker.h
+++ b/testbed/stubs/stub_worker.h
@@ -49,7 +49,8 @@
   std::string uid{};  // of the worker
   std::string sha{};  // of the received part of the upload
   std::uint64_t bytes = 0;
-  bool begun = false;  // the last byte of the upload was received
+  bool begun = false;   // the last byte of the upload was received
+  double begun_ms = 0;  // then, by the steady clock
 };
 
 // What all workers received. Thread-safe.
@@ -62,6 +63,9 @@
   void note_queue_length(int length);
   void note_rejected() { ++rejected_; }
   long rejected() const { return rejected_; }
+  // A call with a job event was not answered, and is made again.
+  void note_repeated_event() { ++repeated_events_; }
+  long repeated_events() const { return repeated_events_; }
   int longest_queue();
 
  private:
@@ -70,6 +74,7 @@
   std::map<std::string, std::uint64_t> attempts_by_request_;
   int longest_queue_ = 0;
   std::atomic<long> rejected_{0};
+  std::atomic<long> repeated_events_{0};
 };
 
 // Shared by the workers of a test.
@@ -112,7 +117,7 @@
   bool serve_queued(Attempt& attempt);
   void run_queued(Attempt& attempt);
   void record(const Attempt& attempt);
-  // Posts a job event to the dispatcher; ignores failures.
+  // Posts a job event to the dispatcher, up to ten times until it is taken.
   void send_job_event(const Query& query, const std::string& event) const;
   std::string load_header() const;
   bool has_limits();
