Count only unanswered requests against the limit of open ones

What callers saw: 503 for new requests while nothing was being done: a request whose client had left kept its place until the client's deadline (5 to 10 s) where its cancel could not be written, for example to a worker that had just died.

Cause: RequestTable counted every entry. An answered request stays there until its attempts have ended, and a cancel that finds no connection is tried again every two connect timeouts until the deadline.

Change: the limit holds for unanswered requests, as the statistics' figure of open ones does. The attempt itself stays, for it may still run at the worker and nothing else of the request may go there. Answered entries are bounded by as many again, and give their payload back.

--- a/src/routing/request_table.cpp
+++ b/src/routing/request_table.cpp
@@ -17,14 +17,16 @@
 }
 
 bool OpenRequest::cannot_be_resent() const {
-  return payload->upload && !payload->upload->replayable();
+  return payload && payload->upload && !payload->upload->replayable();
 }
 
 bool OpenRequest::has_unfinished_upload() const {
-  return payload->upload && !payload->upload->taken_all();
+  return payload && payload->upload && !payload->upload->taken_all();
 }
 
 std::optional<RequestRef> RequestTable::insert(OpenRequest request) {
+  if (unanswered_count_ >= max_requests_)
+    return std::nullopt;
   scheduling::RequestId id = request.id;
   std::optional<RequestRef> ref = slots_.insert(std::move(request));
   if (!ref)
@@ -53,6 +55,9 @@
 void RequestTable::mark_answered(OpenRequest& request) {
   request.answered = true;
   --unanswered_count_;
+  // No further attempt follows, and an attempt that is not sent yet has a reference of its own.
+  if (!request.payload->upload)
+    request.payload.reset();
 }
 
 std::vector<scheduling::RequestId> RequestTable::known_ids() const {
--- a/src/routing/request_table.h
+++ b/src/routing/request_table.h
@@ -1,4 +1,8 @@
 // The requests that are open, found by slot or by id, and the ids of those that ended recently.
+//
+// An answered request stays in the table until its attempts have ended: a cancellation may not
+// reach its worker, and the attempt then lasts until the client's deadline. Such requests do not
+// count against the limit of open ones, but the table holds no more than as many again.
 #pragma once
 
 #include <cstddef>
@@ -25,7 +29,7 @@
   scheduling::RequestId id = 0;
   std::size_t job_class = 0;
   int max_attempts = 1;  // by the settings in force when it was admitted
-  std::shared_ptr<const RequestPayload> payload;
+  std::shared_ptr<const RequestPayload> payload;  // null: answered, and all of it is sent
   transport::Time expires_at{};  // the client times out
   bool answered = false;
   std::vector<Attempt> attempts;
@@ -45,7 +49,9 @@
 
 class RequestTable {
  public:
-  explicit RequestTable(std::size_t max_requests) : slots_(max_requests) {}
+  // `max_requests`: that are not answered yet.
+  explicit RequestTable(std::size_t max_requests)
+      : max_requests_(max_requests), slots_(kSlotsPerRequest * max_requests) {}
 
   // Nothing: the table is full.
   std::optional<RequestRef> insert(OpenRequest request);
@@ -78,7 +84,9 @@
   // Each request has a new id, and a repeated one shortly after the end must not run again. A
   // quarter of a megabyte, for more than a minute's requests.
   static constexpr std::size_t kMaxEndedIds = 4096;
+  static constexpr std::size_t kSlotsPerRequest = 2;
 
+  std::size_t max_requests_;
   mutable transport::SlotTable<OpenRequest> slots_;  // its find() is not const
   std::unordered_map<scheduling::RequestId, RequestRef> by_id_;
   std::unordered_set<scheduling::RequestId> external_ids_;
