Tell the scheduler of a reply that breaks off midway

What callers saw (streaming only): a worker that begins each reply and breaks it off kept getting requests for ever; each client got a cut body.

Cause: an attempt whose reply passes through ends with Success at the head of the reply, and WorkerClient::abort_reply() told nobody of what came after. The success even cleared the worker's record for the class.

Change: Router::reply_broken() and Scheduler::on_reply_broken(). The last success is taken back and counts as a failure of that class: after fewer than three successes in a row the worker gets none of the class for 5 s, twice as long after the next. A reply that nobody reads any more blames no one.

--- a/include/dispatcher/scheduling/scheduler.h
+++ b/include/dispatcher/scheduling/scheduler.h
@@ -39,6 +39,8 @@
   // Requests that the other dispatchers say they have at a worker now: gossip, used only to
   // estimate its load.
   void on_load_gossip(Time now, std::string_view worker, double jobs, Actions& out);
+  // The reply of an attempt that ended with Success broke off at the worker before its end.
+  void on_reply_broken(Time now, std::string_view worker, std::size_t job_class, Actions& out);
   void on_client_disconnected(Time now, RequestId id, Actions& out);
   void on_timer(Time now, Actions& out);
 
--- a/src/http/worker_client.cpp
+++ b/src/http/worker_client.cpp
@@ -83,6 +83,7 @@
   Call call(CallKind::Submit, worker);
   call.attempt = attempt;
   call.reply = payload->reply;
+  call.job_class = http_payload.request.request.job_class;
   call.payload = payload;
   call.deadline = deadline;
   if (streaming_)
--- a/src/http/worker_client.h
+++ b/src/http/worker_client.h
@@ -104,9 +104,10 @@
     transport::Deadlines::Handle last_byte_delay;
     std::unique_ptr<Transfer> transfer;
     std::shared_ptr<streaming::Pipe> reply;  // for a reply that is relayed
-    bool counted_as_sent = false;            // in the metrics
-    bool accepted_early = false;             // answered 202 before its upload was complete
-    bool keep_connection = false;            // of a relayed body, for another call
+    std::size_t job_class = 0;
+    bool counted_as_sent = false;  // in the metrics
+    bool accepted_early = false;   // answered 202 before its upload was complete
+    bool keep_connection = false;  // of a relayed body, for another call
   };
 
   struct ActiveAttempt {
--- a/src/http/worker_client_streams.cpp
+++ b/src/http/worker_client_streams.cpp
@@ -186,8 +186,12 @@
   reply->finish();
 }
 
+// The worker is to blame, unless nobody reads the reply any more.
 void WorkerClient::abort_reply(SlotRef connection) {
-  std::shared_ptr<streaming::Pipe> reply = calls_.at(connection).transfer->reply;
+  const Call& call = calls_.at(connection);
+  std::shared_ptr<streaming::Pipe> reply = call.transfer->reply;
+  if (!reply->abandoned())
+    router_->reply_broken(call.worker, call.job_class);
   drop_call(connection);
   platform_.network.reset(connection);
   reply->abort();
--- a/src/routing/request_table.h
+++ b/src/routing/request_table.h
@@ -28,9 +28,9 @@
 struct OpenRequest {
   scheduling::RequestId id = 0;
   std::size_t job_class = 0;
-  int max_attempts = 1;  // by the settings in force when it was admitted
+  int max_attempts = 1;                           // by the settings in force when it was admitted
   std::shared_ptr<const RequestPayload> payload;  // null: answered, and all of it is sent
-  transport::Time expires_at{};  // the client times out
+  transport::Time expires_at{};                   // the client times out
   bool answered = false;
   std::vector<Attempt> attempts;
   transport::Deadlines::Handle deadline;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -98,6 +98,14 @@
   });
 }
 
+void Router::reply_broken(const std::string& worker, std::size_t job_class) {
+  events_.post([=, this] {
+    run_scheduler([&](Scheduler& scheduler, Actions& actions) {
+      scheduler.on_reply_broken(clock_.now(), worker, job_class, actions);
+    });
+  });
+}
+
 void Router::on_endpoint_update(scheduling::EndpointUpdateKind kind,
                                 const std::vector<scheduling::WorkerEntry>& entries) {
   // By reference: updates come from sockets and timers, never from inside another event.
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -82,6 +82,8 @@
   void attempt_ended(AttemptRef attempt, scheduling::Outcome outcome,
                      const scheduling::LoadReport& report, Reply reply = {});
   void progress(Progress event);
+  // A reply that passes through broke off at its worker after its head.
+  void reply_broken(const std::string& worker, std::size_t job_class);
   void health_check_ended(const std::string& worker, scheduling::Outcome outcome,
                           const scheduling::LoadReport& report);
   void on_endpoint_update(scheduling::EndpointUpdateKind kind,
--- a/src/scheduling/outlier_ejection.cpp
+++ b/src/scheduling/outlier_ejection.cpp
@@ -110,14 +110,11 @@
   switch (outcome) {
     case Outcome::Success:
       on_alive(worker, now);
-      ejection = {.consecutive_successes = ejection.consecutive_successes + 1};
+      ejection = {.consecutive_successes = ejection.consecutive_successes + 1,
+                  .backoff_before_success = ejection.backoff};
       break;
     case Outcome::Failure:
-      if (std::exchange(ejection.consecutive_successes, 0) < kSuccessesOfTrust) {
-        ejection.backoff =
-            std::clamp(2 * ejection.backoff, kMinimumClassBackoff, kMaximumClassBackoff);
-        ejection.until = now + ejection.backoff;
-      }
+      fail_class(ejection, now);
       break;
     case Outcome::ConnectFailed:
       add_failure(worker, kConnectionScore, "connect failed", kMaximumScore, now);
@@ -135,6 +132,20 @@
   }
 }
 
+void OutlierEjection::fail_class(ClassEjection& ejection, Time now) {
+  if (std::exchange(ejection.consecutive_successes, 0) >= kSuccessesOfTrust)
+    return;
+  ejection.backoff = std::clamp(2 * ejection.backoff, kMinimumClassBackoff, kMaximumClassBackoff);
+  ejection.until = now + ejection.backoff;
+}
+
+void OutlierEjection::on_reply_broken(Worker& worker, std::size_t job_class, Time now) {
+  ClassEjection& ejection = worker.class_ejections[job_class];
+  ejection.consecutive_successes = std::max(0, ejection.consecutive_successes - 1);
+  ejection.backoff = std::max(ejection.backoff, ejection.backoff_before_success);
+  fail_class(ejection, now);
+}
+
 void OutlierEjection::on_rejected(Worker& worker, Duration slot_time, Time now) {
   worker.rejection_backoff =
       std::clamp(2 * worker.rejection_backoff, slot_time, kMaximumRejectionSlotTimes * slot_time);
--- a/src/scheduling/outlier_ejection.h
+++ b/src/scheduling/outlier_ejection.h
@@ -57,6 +57,8 @@
 
   void on_alive(Worker& worker, Time now);
   void on_attempt_end(Worker& worker, std::size_t job_class, Outcome outcome, Time now);
+  // The last success was none: it began with the head of a reply that then broke off.
+  void on_reply_broken(Worker& worker, std::size_t job_class, Time now);
   // The worker is full: it gets nothing until a slot may be free, longer with each rejection.
   void on_rejected(Worker& worker, Duration slot_time, Time now);
   void on_attempt_started(Worker& worker) { worker.rejection_backoff = Duration(0); }
@@ -82,6 +84,7 @@
     const auto found = worker.class_ejections.find(job_class);
     return found != worker.class_ejections.end() && now < found->second.until;
   }
+  static void fail_class(ClassEjection& ejection, Time now);
   void add_failure(Worker& worker, double score, std::string_view symptom, double maximum,
                    Time now);
 
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -57,6 +57,7 @@
   void on_health_check_result(Time now, std::string_view id, Outcome outcome,
                               const LoadReport& report);
   void on_load_gossip(Time now, std::string_view id, double jobs);
+  void on_reply_broken(Time now, std::string_view id, std::size_t job_class);
   void on_client_disconnected(RequestId id);
   void on_timer(Time now);
 
@@ -178,6 +179,11 @@
     lifecycle_.dispatch_pending_to(*worker, now);
 }
 
+void Scheduler::Parts::on_reply_broken(Time now, std::string_view id, std::size_t job_class) {
+  if (Worker* worker = registry_.find(id))
+    ejection_.on_reply_broken(*worker, job_class, now);
+}
+
 void Scheduler::Parts::on_client_disconnected(RequestId id) {
   const auto it = requests_.find(id);
   if (it != requests_.end())
@@ -267,6 +273,12 @@
   parts_->on_load_gossip(now, worker, jobs);
 }
 
+void Scheduler::on_reply_broken(Time now, std::string_view worker, std::size_t job_class,
+                                Actions& out) {
+  parts_->begin_event(now, out);
+  parts_->on_reply_broken(now, worker, job_class);
+}
+
 void Scheduler::on_client_disconnected(Time now, RequestId id, Actions& out) {
   parts_->begin_event(now, out);
   parts_->on_client_disconnected(id);
--- a/src/scheduling/worker.h
+++ b/src/scheduling/worker.h
@@ -34,7 +34,8 @@
 struct ClassEjection {
   Time until{};
   Duration backoff{0};
-  int consecutive_successes = 0;  // since the last failure
+  int consecutive_successes = 0;       // since the last failure
+  Duration backoff_before_success{0};  // of the last success, which may prove to be none
 };
 
 // Work sent to a worker that is warming up.
--- a/tests/scheduling/class_ejection_test.cpp
+++ b/tests/scheduling/class_ejection_test.cpp
@@ -54,6 +54,32 @@
   EXPECT_TRUE(scene.goes(0));
 }
 
+// Guards against a worker whose replies all break off midway and that is never ejected: the head of
+// each counted as a success.
+TEST(ClassEjection, AWorkerWhoseRepliesBreakOffIsEjectedForLongerEachTime) {
+  TwoClasses scene;
+  auto break_off = [&] {
+    scene.serve(0, Outcome::Success);
+    scene.scheduler.on_reply_broken(scene.now, "a", 0, scene.actions);
+  };
+  break_off();
+  EXPECT_FALSE(scene.goes(0));
+  scene.scheduler.on_client_disconnected(scene.now, scene.last, scene.actions);
+  scene.serve(1, Outcome::Success);
+  scene.pass(5001);
+  break_off();
+  scene.pass(9000);
+  EXPECT_FALSE(scene.goes(0));
+}
+
+TEST(ClassEjection, AReplyThatBreaksOffAmongSuccessesIsChance) {
+  TwoClasses scene;
+  for (int i = 0; i < 4; ++i)
+    scene.serve(0, Outcome::Success);
+  scene.scheduler.on_reply_broken(scene.now, "a", 0, scene.actions);
+  EXPECT_TRUE(scene.goes(0));
+}
+
 TEST(ClassEjection, ASingleFailureAmongSuccessesIsChance) {
   TwoClasses scene;
   for (int i = 0; i < 3; ++i)
