Send a worker no second attempt of a request that may still run there

Cause: may_send() let a request of an idempotent class, or a keyed one within its window, go to every worker without an open attempt of it. An attempt whose connection was reset counts as closed, although nothing says that its job has ended: it "may have run, or may yet". The worker's next good health check made it a candidate again.

Evidence: in the scheduling library on request 1 goes to b, is reset, goes to a, and 33 ms later to b again as a hedge; after a cancellation, whose DELETE may be lost in a partition, in the same millisecond; with one worker, it goes back to it.

Change: an attempt remembers whether its worker has surely stopped: by the worker's own word (a job event, `lost` included), by a complete answer, or by proof that it never began. Until then that worker gets no other attempt of the request. AttemptEnd::reported_by_worker carries that word; the simulator's adapter sets it, since there an attempt ends at both sides unless it has timed out. A lone worker that was reset gets no retry; the client gets its answer at once.

Looked at, no fault: a worker that vanishes from the list and returns keeps its Worker object while a request refers to it; connect_failed is reported only where the last byte was never written.

--- a/include/dispatcher/scheduling/types.h
+++ b/include/dispatcher/scheduling/types.h
@@ -154,7 +154,10 @@
   bool final = false;  // the request is finished
   std::string_view worker;
   Outcome outcome = Outcome::NotSent;
-  LoadReport report;
+  LoadReport report{};
+  // The worker itself has reported the end. Without it, a reset, a timeout and a cancellation leave
+  // open whether the worker still runs the job.
+  bool reported_by_worker = false;
 };
 
 enum class ActionKind { Send, Reject, Fail, Cancel, HealthCheck, Watch, SetTimer, Log };
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -146,8 +146,11 @@
   bool may_send(const OpenRequest& request) const;
   void cancel(const scheduling::Action& action);
   void on_job_event(Progress event);
+  // Whose word the end of an attempt is.
+  enum class EndSource { Connection, JobEvent };
   void end_attempt(AttemptRef ref, scheduling::Outcome outcome,
-                   const scheduling::LoadReport& report, Reply reply);
+                   const scheduling::LoadReport& report, Reply reply,
+                   EndSource source = EndSource::Connection);
   void answer_served(RequestRef ref, OpenRequest& request, Reply reply);
   void answer_unrepeatable(RequestRef ref, OpenRequest& request, scheduling::Outcome outcome);
   void report_attempt_end(const scheduling::AttemptEnd& end);
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -64,7 +64,7 @@
   if (!event.started && !event.progress) {
     ports_.workers.forget_attempt({*ref, *attempt});
     return end_attempt({*ref, *attempt}, event.outcome, event.report,
-                       {std::move(event.result), {}, {}, {}});
+                       {std::move(event.result), {}, {}, {}}, EndSource::JobEvent);
   }
   request.attempts[*attempt].may_have_run = true;
   if (event.started)
@@ -76,7 +76,8 @@
   });
 }
 
-void Router::end_attempt(AttemptRef ref, Outcome outcome, const LoadReport& report, Reply reply) {
+void Router::end_attempt(AttemptRef ref, Outcome outcome, const LoadReport& report, Reply reply,
+                         EndSource source) {
   OpenRequest* request = table_.find(ref.request);
   bool open = request && request->is_open(ref.attempt);
   bool serves = open && outcome == Outcome::Success && !request->answered;
@@ -95,7 +96,13 @@
     answer_unrepeatable(ref.request, *request, outcome);
   }
   std::string worker = attempt.worker;  // the request may be removed during the call
-  report_attempt_end({request->id, ref.attempt, request->answered, worker, outcome, report});
+  report_attempt_end({.id = request->id,
+                      .attempt = ref.attempt,
+                      .final = request->answered,
+                      .worker = worker,
+                      .outcome = outcome,
+                      .report = report,
+                      .reported_by_worker = source == EndSource::JobEvent});
   close_if_answered(ref.request);
 }
 
@@ -128,7 +135,11 @@
 
 void Router::report_not_sent(scheduling::RequestId id, int attempt, bool final,
                              const std::string& worker) {
-  report_attempt_end({id, attempt, final, worker, Outcome::NotSent, {}});
+  report_attempt_end({.id = id,
+                      .attempt = attempt,
+                      .final = final,
+                      .worker = worker,
+                      .outcome = Outcome::NotSent});
 }
 
 // The scheduler's cancels of these attempts then reach nobody.
--- a/src/scheduling/attempt_monitor.cpp
+++ b/src/scheduling/attempt_monitor.cpp
@@ -95,6 +95,7 @@
   if (!attempt->open || attempt->worker->id != end.worker)
     return;
   attempt->open = false;
+  attempt->may_still_run = !proves_stopped(end);
   if (never_ran && !attempt->started)
     attempt->may_have_run = false;
   if (end.outcome == Outcome::NotSent && end.attempt > 0)
--- a/src/scheduling/idempotency.cpp
+++ b/src/scheduling/idempotency.cpp
@@ -45,7 +45,9 @@
     return false;
   const double margin_ms = repeat_margin_ms(settings);
   return std::ranges::all_of(state.attempts, [&](const Attempt& attempt) {
-    if (attempt.open && (!settings.hedging_allowed || attempt.worker == &worker))
+    if (attempt.open && !settings.hedging_allowed)
+      return false;
+    if (attempt.may_still_run && attempt.worker == &worker)
       return false;
     if (!attempt.may_have_run || class_settings.idempotency == Idempotency::Idempotent)
       return true;
--- a/src/scheduling/idempotency.h
+++ b/src/scheduling/idempotency.h
@@ -1,5 +1,8 @@
 // The rules on repeating a request, asked before every send and every rejection.
 //
+// A worker gets one attempt of a request at a time: another one only once the end of the earlier
+// one has proved that the worker has stopped.
+//
 // An attempt counts as one that may have run unless its end proves the contrary. A keyed request
 // may be repeated to the workers of its deduplication scope, as listed at the send, within the
 // deduplication window that begins with the first send. A hedge shares the window of the attempts
@@ -30,4 +33,11 @@
          outcome == Outcome::NotSent;
 }
 
+// Whether the end proves that the worker does not run the attempt any more. A lost connection, a
+// timeout or a cancellation proves nothing: what was written last may not have arrived.
+constexpr bool proves_stopped(const AttemptEnd& end) {
+  return end.reported_by_worker || proves_not_run(end.outcome) || end.outcome == Outcome::Success ||
+         end.outcome == Outcome::Failure;
+}
+
 }  // namespace dispatcher::scheduling
--- a/src/scheduling/request_state.h
+++ b/src/scheduling/request_state.h
@@ -24,6 +24,7 @@
   bool open = true;
   bool may_have_run = true;
   bool started = false;
+  bool may_still_run = true;  // nothing proves that the worker has stopped
 };
 
 // Order of the pending requests: the lower value first, then the earlier objective deadline.
--- a/src/simulator_adapter/wire.cpp
+++ b/src/simulator_adapter/wire.cpp
@@ -82,6 +82,8 @@
   end.final = line.word() == "1";
   end.worker = line.word();
   end.outcome = read_outcome(line.word());
+  // The simulator ends an attempt at the worker too, unless the dispatcher has stopped waiting.
+  end.reported_by_worker = end.outcome != scheduling::Outcome::TimedOut;
   line.word();  // time since the send
   end.report = settings::read_report(line.optional_word(), columns);
   return end;
