Count a request's further failures against workers only if it is served

Cause: each failure of a request counted against its worker. A request that breaks whatever worker it reaches put out one worker for each of its attempts; six such requests put out three workers within 0.2 s.

Change: the first failure counts as before. A `failure` at another worker, after one at a first, is deferred: it counts once a third worker has served the request, and until then it only keeps the request from that worker. Refused and reset connections count at once as before, since they are checked by a health check at once.

A worker that fails what another serves is out as before.

--- a/src/scheduling/attempt_monitor.cpp
+++ b/src/scheduling/attempt_monitor.cpp
@@ -20,19 +20,13 @@
 constexpr double kHedgeQueueShare = 0.2;  // of its slack an attempt waits before a hedge may pay
 constexpr std::ptrdiff_t kMaximumHedgedAttempts = 2;
 
-Attempt* find_attempt(RequestState& state, int attempt) {
-  if (attempt < 0 || attempt >= std::ssize(state.attempts))
-    return nullptr;
-  return &state.attempts[static_cast<std::size_t>(attempt)];
-}
-
 }  // namespace
 
 void AttemptMonitor::on_job_event(Time now, RequestId id, int attempt, std::string_view worker_id,
                                   JobEventKind kind) {
   RequestState* state = nullptr;
   const auto it = requests_.find(id);
-  Attempt* found = it != requests_.end() ? find_attempt(it->second, attempt) : nullptr;
+  Attempt* found = it != requests_.end() ? it->second.find(attempt) : nullptr;
   if (found) {
     state = &it->second;
     // Even if its end has said that it never ran.
@@ -86,7 +80,7 @@
 // An outcome proves only once that the attempt never ran: while it is open, by its own worker, and
 // without a start or progress event before.
 void AttemptMonitor::end_attempt(RequestState& state, const AttemptEnd& end) {
-  Attempt* attempt = find_attempt(state, end.attempt);
+  Attempt* attempt = state.find(end.attempt);
   if (!attempt)
     return;
   const bool never_ran = proves_not_run(end.outcome);
--- a/src/scheduling/attempt_recorder.cpp
+++ b/src/scheduling/attempt_recorder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "scheduling/units.h"
 
@@ -28,6 +29,17 @@
   worker.started_slots = 0;
 }
 
+bool is_failure(Outcome outcome) {
+  return outcome == Outcome::Failure || outcome == Outcome::ConnectionReset ||
+         outcome == Outcome::ConnectFailed;
+}
+
+bool failed_at_another(const RequestState& state, const Worker& worker) {
+  return std::ranges::any_of(state.attempts, [&worker](const Attempt& attempt) {
+    return attempt.failed && attempt.worker != &worker;
+  });
+}
+
 }  // namespace
 
 OutstandingAttempt* find_outstanding(Worker& worker, RequestId id, int attempt) {
@@ -61,7 +73,7 @@
     return;
   if (end.outcome == Outcome::Success)
     learn_from_success(worker, *attempt, now);
-  ejection_.on_attempt_end(worker, attempt->job_class, end.outcome, now);
+  judge_worker(worker, attempt->job_class, end, now);
   if (end.outcome == Outcome::Rejected)
     on_rejected(worker, *attempt, now);
   load_.record_peak(worker, now);
@@ -69,6 +81,29 @@
   on_report(worker, end.report, true, now);
 }
 
+void AttemptRecorder::judge_worker(Worker& worker, std::size_t job_class, const AttemptEnd& end,
+                                   Time now) {
+  const auto found = requests_.find(end.id);
+  Attempt* attempt = found == requests_.end() ? nullptr : found->second.find(end.attempt);
+  if (attempt) {
+    attempt->failed = is_failure(end.outcome);
+    if (end.outcome == Outcome::Failure && failed_at_another(found->second, worker)) {
+      attempt->blame_deferred = true;
+      return;
+    }
+    if (end.outcome == Outcome::Success)
+      charge_deferred(found->second, now);
+  }
+  ejection_.on_attempt_end(worker, job_class, end.outcome, now);
+}
+
+void AttemptRecorder::charge_deferred(RequestState& state, Time now) {
+  for (Attempt& attempt : state.attempts) {
+    if (std::exchange(attempt.blame_deferred, false))
+      ejection_.on_attempt_end(*attempt.worker, state.request.job_class, Outcome::Failure, now);
+  }
+}
+
 void AttemptRecorder::on_report(Worker& worker, const LoadReport& report, bool with_attempt_end,
                                 Time now) {
   ejection_.on_error_rate(worker, report.fail_rate.value_or(NAN), load_.mean_slot_time(worker),
--- a/src/scheduling/attempt_recorder.h
+++ b/src/scheduling/attempt_recorder.h
@@ -1,6 +1,8 @@
 // Books attempts at the workers that run them and learns from their ends.
 #pragma once
 
+#include <cstddef>
+
 #include "dispatcher/scheduling/types.h"
 #include "scheduling/cost_estimator.h"
 #include "scheduling/load_estimator.h"
@@ -17,12 +19,15 @@
 
 // Keeps the sums over the open attempts of each worker, and passes what their ends and reports tell
 // to the load estimator, the outlier ejection and the cost model.
+//
+// A request that fails at one worker after another may be at fault itself. Its first failure counts
+// against the worker; a further one at another worker only once a third has served the request.
 class AttemptRecorder {
  public:
   // All references must outlive the recorder.
   AttemptRecorder(const Settings& settings, CostEstimator& costs, const SlowStart& slow_start,
                   const WorkerRegistry& registry, LoadEstimator& load, OutlierEjection& ejection,
-                  const RequestTable& requests)
+                  RequestTable& requests)
       : settings_(settings),
         costs_(costs),
         slow_start_(slow_start),
@@ -38,6 +43,8 @@
   void on_report(Worker& worker, const LoadReport& report, bool with_attempt_end, Time now);
 
  private:
+  void judge_worker(Worker& worker, std::size_t job_class, const AttemptEnd& end, Time now);
+  void charge_deferred(RequestState& state, Time now);
   void learn_from_success(Worker& worker, const OutstandingAttempt& attempt, Time now);
   double learn_work(const Worker& worker, const OutstandingAttempt& attempt,
                     const RequestState& state, Time now);
@@ -50,7 +57,7 @@
   const WorkerRegistry& registry_;
   LoadEstimator& load_;
   OutlierEjection& ejection_;
-  const RequestTable& requests_;
+  RequestTable& requests_;
 };
 
 }  // namespace dispatcher::scheduling
--- a/src/scheduling/outlier_ejection.h
+++ b/src/scheduling/outlier_ejection.h
@@ -37,7 +37,8 @@
   }
   bool accepts(const Worker& worker, const RequestState& state, Time now) const {
     const double score = failure_score(worker, now);
-    if (now < worker.backoff_until || ejected_for_class(worker, state.request.job_class, now))
+    if (now < worker.backoff_until || state.blame_deferred_at(worker) ||
+        ejected_for_class(worker, state.request.job_class, now))
       return false;
     const bool repeatable = state.class_settings.idempotency != Idempotency::NonIdempotent;
     if (score >= kEjectionScore) {
--- a/src/scheduling/request_state.h
+++ b/src/scheduling/request_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -25,6 +26,10 @@
   bool may_have_run = true;
   bool started = false;
   bool may_still_run = true;  // nothing proves that the worker has stopped
+  bool failed = false;        // it ended with a failure or without a connection
+  // Its failure does not count against the worker, unless another one serves the request, but
+  // keeps the request from that worker.
+  bool blame_deferred = false;
 };
 
 // Order of the pending requests: the lower value first, then the earlier objective deadline.
@@ -49,6 +54,17 @@
   int open_checks = 0;
   int check_rounds = 0;
 
+  // Null if there is no such attempt.
+  Attempt* find(int attempt) {
+    if (attempt < 0 || attempt >= std::ssize(attempts))
+      return nullptr;
+    return &attempts[static_cast<std::size_t>(attempt)];
+  }
+  bool blame_deferred_at(const Worker& worker) const {
+    return std::ranges::any_of(attempts, [&worker](const Attempt& attempt) {
+      return attempt.blame_deferred && attempt.worker == &worker;
+    });
+  }
   double slot_work() const { return work_ms * request.slots; }  // slot-weighted work
   bool any_open() const { return std::ranges::any_of(attempts, &Attempt::open); }
   bool any_may_have_run() const { return std::ranges::any_of(attempts, &Attempt::may_have_run); }
--- /dev/null
+++ b/tests/scheduling/request_at_fault_test.cpp
@@ -0,0 +1,32 @@
+// Failures that follow a request from worker to worker.
+#include "tests/scheduling/healthy_fleet.h"
+
+namespace dispatcher::scheduling::testing {
+namespace {
+
+// Guards against one bad request that puts out every worker it is retried at.
+TEST(RequestAtFault, ARequestThatFailsAtASecondWorkerDoesNotEjectThatOne) {
+  HealthyFleet fleet(Idempotency::Idempotent, {"a", "b"});
+  fleet.submit_bad({Outcome::Failure, Outcome::Failure, Outcome::Failure, Outcome::Failure});
+  fleet.run(100);
+  fleet.sends.clear();
+  fleet.submit();
+  fleet.submit();
+  EXPECT_EQ(fleet.sends["a"] + fleet.sends["b"], 2) << "the second worker takes both at once";
+}
+
+// A request that a third worker serves was not to blame: both that failed it are out.
+TEST(RequestAtFault, AWorkerThatFailsWhatAnotherServesIsEjected) {
+  HealthyFleet fleet(Idempotency::Idempotent, {"a", "b", "c"});
+  fleet.submit_bad({Outcome::Failure, Outcome::Failure});
+  fleet.run(200);
+  ASSERT_EQ(fleet.served.size(), 1U);
+  fleet.sends.clear();
+  fleet.submit();
+  fleet.submit();
+  fleet.submit();
+  EXPECT_EQ(fleet.sends.size(), 1U) << "only the third worker gets any at once";
+}
+
+}  // namespace
+}  // namespace dispatcher::scheduling::testing
