Use the workers that are out when no other is left

Cause: ejection had no bound. With every worker ejected or out for the class, nothing was sent until the next recovery probe (1 s, 4 s at most) or until the class's 5 s were over, longer than any request had.

Change: every 50 ms the scheduler looks whether all workers that could run a pending request are out (two at least). Then it checks the health of ejected ones without delay, three at a time and each every 200 ms at most. Those out for the class get one request in 250 ms as a trial; the first success ends the ejection. A suspect gets a non-idempotent request while it has no other; where health checks are not allowed, such a request serves as recovery probe too, as otherwise nothing ever could. A lone worker stays out as before: class_ejection_test holds that.

--- a/src/scheduling/candidate_selector.cpp
+++ b/src/scheduling/candidate_selector.cpp
@@ -38,6 +38,18 @@
          slow_start_.within_budget(worker, state, registry_.mean_speed(), now);
 }
 
+bool CandidateSelector::all_workers_out(const RequestState& state, Time now) const {
+  int workers_out = 0;
+  for (const Worker* worker : registry_.ready()) {
+    if (!can_run(*worker, state))
+      continue;
+    if (!ejection_.out_for(*worker, state, now))
+      return false;
+    ++workers_out;
+  }
+  return workers_out > 1;
+}
+
 Time CandidateSelector::latest_useful_start(const RequestState& state) const {
   double maximum_speed = registry_.list_known() ? kMinimumSpeed : registry_.mean_speed();
   for (const Worker* worker : registry_.ready()) {
--- a/src/scheduling/candidate_selector.h
+++ b/src/scheduling/candidate_selector.h
@@ -46,6 +46,8 @@
 
   // Whether the request may go to the worker now, whatever the worker's load.
   bool eligible(Worker& worker, const RequestState& state, Time now) const;
+  // Whether several workers could run the request and every one of them is out for it.
+  bool all_workers_out(const RequestState& state, Time now) const;
   // After this the request would be late even at the fastest worker.
   Time latest_useful_start(const RequestState& state) const;
   // Whether a crossing can cost less than the longest queue that is joined.
--- a/src/scheduling/outlier_ejection.cpp
+++ b/src/scheduling/outlier_ejection.cpp
@@ -1,6 +1,8 @@
 #include "scheduling/outlier_ejection.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -21,6 +23,11 @@
 
 constexpr Duration kRepeatedEjection = std::chrono::seconds(2);
 constexpr Duration kMaximumProbeBackoff = 4 * kRecoveryProbeInterval;
+// While requests wait and all workers are out.
+constexpr Duration kUrgentProbeInterval{200};  // between two health checks of a worker
+constexpr std::ptrdiff_t kMaximumUrgentProbes = 3;
+constexpr Duration kClassTrialInterval{250};  // between two requests of a class it is out for
+
 constexpr Duration kReportFreshness{500};  // a worker heard of within this needs no check
 constexpr Duration kSignOfLifeFreshness = std::chrono::seconds(1);
 
@@ -63,6 +70,29 @@
   }
 }
 
+void OutlierEjection::probe_without_delay(const std::vector<Worker*>& workers, Time now) {
+  if (!settings_.health_checks_allowed)
+    return;
+  std::vector<Worker*> due;
+  std::ranges::copy_if(workers, std::back_inserter(due), [&](const Worker* worker) {
+    return ejected(*worker, now) && !worker->health_check_open &&
+           now - worker->reported_at >= kUrgentProbeInterval;
+  });
+  const auto count = std::min(std::ssize(due), kMaximumUrgentProbes);
+  std::ranges::partial_sort(due, due.begin() + count, {},
+                            [](const Worker* worker) { return worker->reported_at; });
+  due.resize(static_cast<std::size_t>(count));
+  for (Worker* worker : due)
+    check_health(*worker, now);
+}
+
+void OutlierEjection::on_send(Worker& worker, std::size_t job_class, Time now) {
+  if (ejected(worker, now))
+    postpone_recovery_probe(worker, now);
+  if (ejected_for_class(worker, job_class, now))
+    worker.class_ejections.at(job_class).next_trial = now + kClassTrialInterval;
+}
+
 void OutlierEjection::postpone_recovery_probe(Worker& worker, Time now) {
   worker.recovery_probe_at = now + worker.recovery_probe_backoff;
   worker.recovery_probe_backoff = std::min(2 * worker.recovery_probe_backoff, kMaximumProbeBackoff);
--- a/src/scheduling/outlier_ejection.h
+++ b/src/scheduling/outlier_ejection.h
@@ -23,6 +23,10 @@
 // that class for a time that grows until it serves one. It may serve the others. This is too strict
 // where errors are frequent everywhere.
 //
+// All out: where every worker that could run a pending request is out, the workers are likely not
+// to blame, and waiting serves nobody. Then the ejected ones are checked without delay, and those
+// that are out for the class, or suspect, get a request at a time. A lone worker stays out.
+//
 // Failing: a worker that fails fast looks free. One that reports far more errors than the others
 // do, in relation to what it could serve, gets nothing for a while.
 class OutlierEjection {
@@ -37,15 +41,23 @@
   }
   bool accepts(const Worker& worker, const RequestState& state, Time now) const {
     const double score = failure_score(worker, now);
-    if (now < worker.backoff_until || state.blame_deferred_at(worker) ||
-        ejected_for_class(worker, state.request.job_class, now))
+    if (now < worker.backoff_until || state.blame_deferred_at(worker))
+      return false;
+    if (ejected_for_class(worker, state.request.job_class, now) &&
+        !(state.all_workers_out && class_trial_due(worker, state.request.job_class, now)))
       return false;
-    const bool repeatable = state.class_settings.idempotency != Idempotency::NonIdempotent;
+    const bool allowed = repeatable(state) || (state.all_workers_out && worker.outstanding.empty());
     if (score >= kEjectionScore) {
       return !settings_.health_checks_allowed && now >= worker.recovery_probe_at &&
-             worker.outstanding.empty() && repeatable;
+             worker.outstanding.empty() && allowed;
     }
-    return score < kSuspectScore || repeatable;
+    return score < kSuspectScore || allowed;
+  }
+  // Whether the worker gets no such request because of its health, whatever its load.
+  bool out_for(const Worker& worker, const RequestState& state, Time now) const {
+    const double score = failure_score(worker, now);
+    return score >= kEjectionScore || (score >= kSuspectScore && !repeatable(state)) ||
+           ejected_for_class(worker, state.request.job_class, now);
   }
 
   // Starts a health check, unless one is open at the worker.
@@ -54,6 +66,10 @@
   // once for each request.
   void check_oldest_report(const std::vector<Worker*>& workers, Time now);
   void probe_ejected(const std::vector<Worker*>& workers, Time now);
+  // For requests that wait with all workers out: checks a few of the ejected ones, those first that
+  // have not been checked for the longest time.
+  void probe_without_delay(const std::vector<Worker*>& workers, Time now);
+  void on_send(Worker& worker, std::size_t job_class, Time now);
   void postpone_recovery_probe(Worker& worker, Time now);
 
   void on_alive(Worker& worker, Time now);
@@ -85,6 +101,12 @@
     const auto found = worker.class_ejections.find(job_class);
     return found != worker.class_ejections.end() && now < found->second.until;
   }
+  static bool class_trial_due(const Worker& worker, std::size_t job_class, Time now) {
+    return now >= worker.class_ejections.at(job_class).next_trial;
+  }
+  static bool repeatable(const RequestState& state) {
+    return state.class_settings.idempotency != Idempotency::NonIdempotent;
+  }
   static void fail_class(ClassEjection& ejection, Time now);
   void add_failure(Worker& worker, double score, std::string_view symptom, double maximum,
                    Time now);
--- a/src/scheduling/request_lifecycle.cpp
+++ b/src/scheduling/request_lifecycle.cpp
@@ -61,13 +61,13 @@
 
 void RequestLifecycle::send(RequestState& state, Worker& worker, Time now) {
   pending_.remove(state);
+  state.all_workers_out = false;
   state.open_checks = 0;
   state.checked_workers.clear();
   if (state.any_open())
     budget_.on_hedge();
   recorder_.open(worker, state, now);
-  if (ejection_.ejected(worker, now))
-    ejection_.postpone_recovery_probe(worker, now);
+  ejection_.on_send(worker, state.request.job_class, now);
   if (!state.attempts.empty())
     budget_.on_extra_attempt(now);
   Time window_start = now;
@@ -148,7 +148,21 @@
   }
 }
 
+void RequestLifecycle::find_workers_out(Time now) {
+  std::size_t visits = 0;
+  bool any_without_worker = false;
+  for (auto it = pending_.begin(); it != pending_.end() && visits < kMaximumPendingVisits;
+       ++it, ++visits) {
+    RequestState& state = requests_.at(it->second);
+    state.all_workers_out = selector_.all_workers_out(state, now);
+    any_without_worker |= state.all_workers_out;
+  }
+  if (any_without_worker)
+    ejection_.probe_without_delay(registry_.ready(), now);
+}
+
 void RequestLifecycle::on_pending_sweep(Time now) {
+  find_workers_out(now);
   dispatch_pending(now);
   sweep_scheduled_ = !pending_.empty();
   if (sweep_scheduled_)
--- a/src/scheduling/request_lifecycle.h
+++ b/src/scheduling/request_lifecycle.h
@@ -77,6 +77,8 @@
   bool dispatch(RequestState& state, Time now);
   void dispatch_or_enqueue(RequestState& state, Time now);
   void enqueue(RequestState& state, Time now);
+  // Finds the first pending requests that no worker is in service for.
+  void find_workers_out(Time now);
 
   const Settings& settings_;
   ActionSink& actions_;
--- a/src/scheduling/worker.h
+++ b/src/scheduling/worker.h
@@ -33,6 +33,7 @@
 // A class of requests that a worker fails, and that is kept off it for a while.
 struct ClassEjection {
   Time until{};
+  Time next_trial{};  // a request of the class may go there before `until` if all workers are out
   Duration backoff{0};
   int consecutive_successes = 0;       // since the last failure
   Duration backoff_before_success{0};  // of the last success, which may prove to be none
