Use recovered workers beyond the slow start if no list says they restarted

Cause: a worker that shows life 0.5 s or more after its ejection is taken for restarted, although no endpoint list has told a new start, and gets a slow-start budget.

Change: where all workers that could run a pending request are out or held back by such an unconfirmed slow start, those of the latter kind also get what fits into their slots times their capacity fraction. A worker that the list shows as restarted keeps its budget; so does every worker as long as one is in service.

--- a/src/scheduling/candidate_selector.cpp
+++ b/src/scheduling/candidate_selector.cpp
@@ -40,10 +40,12 @@
 
 bool CandidateSelector::all_workers_out(const RequestState& state, Time now) const {
   int workers_out = 0;
-  for (const Worker* worker : registry_.ready()) {
+  for (Worker* worker : registry_.ready()) {
     if (!can_run(*worker, state))
       continue;
-    if (!ejection_.out_for(*worker, state, now))
+    const bool held_back = slow_start_.restart_unconfirmed(*worker, now) &&
+                           !slow_start_.within_budget(*worker, state, registry_.mean_speed(), now);
+    if (!held_back && !ejection_.out_for(*worker, state, now))
       return false;
     ++workers_out;
   }
--- a/src/scheduling/candidate_selector.h
+++ b/src/scheduling/candidate_selector.h
@@ -46,7 +46,8 @@
 
   // Whether the request may go to the worker now, whatever the worker's load.
   bool eligible(Worker& worker, const RequestState& state, Time now) const;
-  // Whether several workers could run the request and every one of them is out for it.
+  // Whether several workers could run the request and every one of them is out for it, or held back
+  // by a slow start that no endpoint list confirms.
   bool all_workers_out(const RequestState& state, Time now) const;
   // After this the request would be late even at the fastest worker.
   Time latest_useful_start(const RequestState& state) const;
--- a/src/scheduling/request_lifecycle.cpp
+++ b/src/scheduling/request_lifecycle.cpp
@@ -154,6 +154,7 @@
   for (auto it = pending_.begin(); it != pending_.end() && visits < kMaximumPendingVisits;
        ++it, ++visits) {
     RequestState& state = requests_.at(it->second);
+    state.all_workers_out = false;  // else budgets would not count
     state.all_workers_out = selector_.all_workers_out(state, now);
     any_without_worker |= state.all_workers_out;
   }
--- a/src/scheduling/request_state.h
+++ b/src/scheduling/request_state.h
@@ -49,7 +49,8 @@
   bool late = false;        // past its objective: runs only where it delays no other request
   bool over_quota = false;  // likewise, and after all other pending requests
   std::optional<QueuePriority> queue_priority;  // while it is pending
-  // While it is pending: every worker that could run it is out (OutlierEjection::out_for()).
+  // While it is pending: every worker that could run it is out
+  // (CandidateSelector::all_workers_out()).
   bool all_workers_out = false;
   // Pre-dispatch health checks.
   std::vector<Worker*> checked_workers;
--- a/src/scheduling/slow_start.cpp
+++ b/src/scheduling/slow_start.cpp
@@ -51,6 +51,10 @@
                               Time now) const {
   if (!warming_up(worker, now))
     return true;
+  if (state.all_workers_out && restart_unconfirmed(worker, now) &&
+      worker.own_slots + state.request.slots <=
+          std::max(1.0, worker.slots * capacity_fraction(worker, now)))
+    return true;
   const double spread = costs_.of_class(state.request.job_class).hints.spread();
   // Three standard deviations.
   if (state.slot_work() * spread * spread * spread > total_budget(worker, mean_speed, now))
--- a/src/scheduling/slow_start.h
+++ b/src/scheduling/slow_start.h
@@ -48,7 +48,14 @@
   // The work that this dispatcher may send within an overload window; 0 if it holds no budget.
   // `mean_speed` is that of the fleet.
   double budget_share(const Worker& worker, double mean_speed, Time now) const;
+  // Whether the worker warms up only because it may have been restarted while it was ejected: no
+  // endpoint list has said so.
+  bool restart_unconfirmed(const Worker& worker, Time now) const {
+    return warming_up(worker, now) && worker.warming_up_since != worker.online_since;
+  }
   // Whether the request fits into this dispatcher's budget; always for a worker at full capacity.
+  // Where all workers are out, one whose restart is not confirmed also gets what fits into the
+  // slots of its capacity now.
   bool within_budget(Worker& worker, const RequestState& state, double mean_speed, Time now) const;
   void on_send(Worker& worker, const RequestState& state, double mean_speed, Time now) const;
 
--- a/tests/scheduling/all_workers_ejected_test.cpp
+++ b/tests/scheduling/all_workers_ejected_test.cpp
@@ -1,4 +1,4 @@
-// Requests while every worker is out: ejected, or ejected for the class.
+// Requests while every worker is out: ejected, ejected for the class, or taken for restarted.
 #include "tests/scheduling/healthy_fleet.h"
 
 namespace dispatcher::scheduling::testing {
@@ -80,5 +80,35 @@
   EXPECT_NE(scene.sent_to(3), "");
 }
 
+// Guards against workers that recover and are taken for restarted, all of them: each then got one
+// request of unknown cost at a time while the others were rejected.
+TEST(AllWorkersEjected, WorkersThatOnlyMayHaveBeenRestartedAreUsedWhenNoneIsLeft) {
+  HealthyFleet fleet(Idempotency::NonIdempotent, {"a", "b"});
+  for (int i = 0; i < 4; ++i) {
+    fleet.submit_bad({Outcome::ConnectionReset});
+    fleet.run(30);
+  }
+  fleet.run(1200);  // both recover by a probe
+  for (int i = 0; i < 20; ++i)
+    fleet.submit();
+  fleet.run(kObjectiveMs);
+  EXPECT_EQ(fleet.turned_away, 0);
+  EXPECT_EQ(fleet.served.size(), 20U);
+}
+
+// The slow start of workers that are listed as restarted holds, however many requests wait.
+TEST(AllWorkersEjected, RestartedWorkersKeepTheirSlowStart) {
+  HealthyFleet fleet(Idempotency::NonIdempotent, {"a", "b"});
+  std::vector<WorkerEntry> restarted = worker_entries(fleet, {"a", "b"});
+  for (WorkerEntry& entry : restarted)
+    entry.online_since = fleet.now;
+  fleet.list(restarted);
+  for (int i = 0; i < 20; ++i)
+    fleet.submit();
+  fleet.run(500);
+  EXPECT_LE(fleet.sends["a"], 1) << "one request of unknown cost in an overload window";
+  EXPECT_LE(fleet.sends["b"], 1);
+}
+
 }  // namespace
 }  // namespace dispatcher::scheduling::testing
