Keep an operator's cordon call over a hot restart message that crosses with it

What callers saw: an operator cordons or uncordons a worker at the incoming process of a hot restart, gets 200, and the call is undone: the worker gets requests again, or none.

Cause: OwnershipTransfer (and a late Welcome) replaces all cordons of the incoming process by those of the outgoing one (CordonList::inherit()). A call made there while the message was under way is not in it.

Evidence: two new cases in link_order_test with a stand-in for the outgoing process: a cordon, an uncordon and one cordon that the outgoing process has lifted, crossing with the transfer; a cordon before a late Welcome.

Change: until it serves, the incoming process records the calls made at it (SharedEvents) and applies them again after the cordons it receives. The outgoing process gets the same calls after what it has sent, so both end with the same list. No message changes.

--- a/src/hot_restart/incoming_process.cpp
+++ b/src/hot_restart/incoming_process.cpp
@@ -61,6 +61,7 @@
   if (!contact)
     return carry_out(ownership_.on_no_listener());
   context_.program.set_serving(false);
+  shared_events_.record_cordon_calls();
   context_.network.limit(options_.shared_limits(options_.connection_limits.accepted));
   open_link(std::move(contact->socket));
   for (Packet& packet : contact->packets)
@@ -229,6 +230,7 @@
 
 // Accepts connections in the same turn of the loop as the health check begins to answer yes.
 void IncomingProcess::serve() {
+  shared_events_.forget_cordon_calls();
   transport::Acceptor& acceptor = context_.program.client_server();
   if (listener_)
     context_.network.share_listener(std::move(listener_), acceptor);
@@ -262,6 +264,7 @@
 void IncomingProcess::apply_cordons(const CordonRecords& records) {
   ServingProgram& program = context_.program;
   program.apply_endpoint_update(program.cordon_list().inherit(read_cordons(records)));
+  shared_events_.reapply_cordon_calls();
 }
 
 }  // namespace dispatcher::hot_restart
--- a/src/hot_restart/shared_events.cpp
+++ b/src/hot_restart/shared_events.cpp
@@ -20,15 +20,30 @@
       [this](std::string_view body, std::function<void(bool)> notify) {
         return forward_job_event(body, std::move(notify));
       });
-  program_.on_cordon_call([this](const std::string& uid, bool cordoned) {
-    send_to_all(make_cordon_call(uid, cordoned));
-  });
+  program_.on_cordon_call(
+      [this](const std::string& uid, bool cordoned) { on_cordon_call(uid, cordoned); });
   program_.router().on_request_accepted([this](scheduling::RequestId id) {
     if (predecessor_.shares_events() || successor_.shares_events())
       send_to_all(make_request_accepted(id));
   });
 }
 
+void SharedEvents::on_cordon_call(const std::string& uid, bool cordoned) {
+  if (records_cordon_calls_)
+    cordon_calls_.push_back({uid, cordoned});
+  send_to_all(make_cordon_call(uid, cordoned));
+}
+
+void SharedEvents::reapply_cordon_calls() {
+  for (const RecordedCordonCall& call : cordon_calls_)
+    program_.apply_cordon(call.uid, call.cordoned);
+}
+
+void SharedEvents::forget_cordon_calls() {
+  records_cordon_calls_ = false;
+  cordon_calls_.clear();
+}
+
 bool SharedEvents::is_shared(const Message& message) {
   switch (message.kind_case()) {
     case Message::kRequestAccepted:
--- a/src/hot_restart/shared_events.h
+++ b/src/hot_restart/shared_events.h
@@ -9,6 +9,8 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <string>
+#include <vector>
 
 #include "hot_restart/process_link.h"
 #include "hot_restart/serving_program.h"
@@ -28,6 +30,11 @@
   void on_message(ProcessLink& sender, const Message& message);
   // The request has gone to the other process, or will be there in a moment.
   void mark_released(scheduling::RequestId id) { released_.insert(id); }
+  // Until the ownership transfer, the cordons of the outgoing process may not contain yet what an
+  // operator has called here: such calls are recorded, to be applied again after those cordons.
+  void record_cordon_calls() { records_cordon_calls_ = true; }
+  void reapply_cordon_calls();
+  void forget_cordon_calls();
   // A process has gone: every forwarded job event gets the answer that the worker must call again.
   void fail_forwarded();
 
@@ -37,6 +44,12 @@
     std::function<void(bool received)> notify;
   };
 
+  struct RecordedCordonCall {
+    std::string uid;
+    bool cordoned = false;
+  };
+
+  void on_cordon_call(const std::string& uid, bool cordoned);
   bool forward_job_event(std::string_view body, std::function<void(bool received)> notify);
   void on_job_event(ProcessLink& sender, const JobEventForward& forward);
   void on_receipt(std::uint64_t number, bool received);
@@ -49,6 +62,8 @@
   std::set<scheduling::RequestId> released_;
   std::map<std::uint64_t, ForwardedJobEvent> forwarded_;
   std::uint64_t last_number_ = 0;
+  std::vector<RecordedCordonCall> cordon_calls_;
+  bool records_cordon_calls_ = false;
 };
 
 }  // namespace dispatcher::hot_restart
--- a/tests/hot_restart/link_order_test.cpp
+++ b/tests/hot_restart/link_order_test.cpp
@@ -1,6 +1,8 @@
 // The order of messages on the link between two processes: what comes before Welcome, a Welcome
 // that comes late, and Ready, which promises that the process can serve.
 #include <future>
+#include <set>
+#include <string>
 
 #include "testbed/stubs/address.h"
 #include "testbed/stubs/blocking_connection.h"
@@ -73,6 +75,13 @@
   std::optional<OutgoingStub> stub;
 };
 
+// A cordon of long ago.
+void add_cordon(hot_restart::CordonRecords& records, const std::string& uid) {
+  hot_restart::CordonRecord& record = *records.Add();
+  record.set_uid(uid);
+  record.set_cordoned_at(1);
+}
+
 std::string job_event(const std::string& id) {
   return R"({"id":")" + id + R"(","from":"s-1","state":"done","result":""})";
 }
@@ -146,6 +155,49 @@
   s.check_serves();
 }
 
+// Guards against an operator's cordon or uncordon at the incoming process that the cordons of the
+// outgoing one undo, because the two messages crossed.
+TEST_CASE("a cordon call at the incoming process outlasts a transfer that crosses with it") {
+  IncomingScene s;
+  auto started = std::async(std::launch::async, [&] { return s.dispatcher.start_hot_restart(); });
+  LinkPeer peer = s.stub->accept();
+  Message welcome = s.welcome(3);
+  add_cordon(*welcome.mutable_welcome()->mutable_cordons(), "s-2");
+  add_cordon(*welcome.mutable_welcome()->mutable_cordons(), "s-3");
+  peer.send(welcome, s.listen_for_clients());
+  peer.await(Message::kReady);
+  CHECK(testbed::call(s.dispatcher.operators(), "POST", "/admin/cordon?id=s-1").status == 200);
+  CHECK(testbed::call(s.dispatcher.operators(), "POST", "/admin/uncordon?id=s-2").status == 200);
+  Message transfer;
+  add_cordon(*transfer.mutable_ownership_transfer()->mutable_cordons(), "s-2");
+  peer.send(transfer);  // without s-3, which is uncordoned there, and s-1
+  REQUIRE(started.get());
+  std::set<std::string> cordoned;
+  const hot_restart::Welcome next = s.welcome_of_program();
+  for (const hot_restart::CordonRecord& record : next.cordons()) {
+    if (!record.has_uncordoned_at())
+      cordoned.insert(record.uid());
+  }
+  CHECK(cordoned == std::set<std::string>{"s-1"});
+}
+
+// The same for a Welcome that comes after the call.
+TEST_CASE("a cordon call at the incoming process outlasts a Welcome that comes late") {
+  IncomingScene s;
+  s.fleet.set_fault(DiscoveryFault{});
+  auto started = std::async(std::launch::async, [&] { return s.dispatcher.start_hot_restart(); });
+  LinkPeer peer = s.stub->accept();
+  s.until([&] {
+    return testbed::call(s.dispatcher.operators(), "POST", "/admin/cordon?id=s-1").status == 200;
+  });
+  peer.send(s.welcome(3), s.listen_for_clients());
+  s.transfer_ownership(peer);
+  REQUIRE(started.get());
+  hot_restart::Welcome next = s.welcome_of_program();
+  REQUIRE(next.cordons_size() == 1);
+  CHECK(next.cordons(0).uid() == "s-1");
+}
+
 // Guards against events that reach an incoming process before Welcome, and against a worker's call
 // that waits for a receipt of a process which does not serve yet.
 TEST_CASE(
