Wait again for a latest start that has moved while a request is pending

Cause: on_objective_deadline() returned without a new timer where `now` lay before latest_useful_start(). That moves when workers' speeds are calibrated, as with each endpoint update. The request then never became late: its objective lay in the past, so that no worker was chosen for it, until its client's time was over.

A test in virtual time with an update that makes one worker faster: pending for good before, sent at the first free slot now.

Change: the timer is set again for the new latest start.

--- a/src/scheduling/request_lifecycle.cpp
+++ b/src/scheduling/request_lifecycle.cpp
@@ -104,7 +104,15 @@
 }
 
 void RequestLifecycle::on_objective_deadline(RequestState& state, Time now) {
-  if (!state.queue_priority || now < selector_.latest_useful_start(state) || dispatch(state, now))
+  if (!state.queue_priority)
+    return;
+  // Workers' speeds change, and the latest start with them.
+  const Time latest_start = selector_.latest_useful_start(state);
+  if (now < latest_start) {
+    timers_.schedule(latest_start, TimerKind::ObjectiveDeadline, state.request.id);
+    return;
+  }
+  if (dispatch(state, now))
     return;
   pending_.remove(state);
   if (state.class_settings.late_weight > 0 && !state.late && load_.mean_utilization() < 1) {
--- a/tests/scheduling/pending_requests_test.cpp
+++ b/tests/scheduling/pending_requests_test.cpp
@@ -106,5 +106,34 @@
   EXPECT_FALSE(scene.answered(1, ActionKind::Fail));
 }
 
+// Guards against a request that stays pending until its client gives up, beside an idle worker: its
+// timer had gone off before a latest start that had moved in the meantime.
+TEST(Pending, ALatestStartThatMovesIsWaitedForAgain) {
+  Settings set = settings(Idempotency::NonIdempotent);
+  set.classes[0].late_weight = 0.5;
+  Scene scene(set);
+  scene.list({scene.worker("a"), scene.worker("b")});
+  scene.request(1, 10);
+  const std::string ejected = scene.sent_to(1);
+  ASSERT_FALSE(ejected.empty());
+  scene.end(1, 0, Outcome::ConnectionReset);
+  const std::string used = ejected == "a" ? "b" : "a";
+  for (RequestId id : {2, 3}) {
+    scene.request(id, 5000);
+    ASSERT_EQ(scene.sent_to(id), used);
+    scene.started(id);
+  }
+  scene.request(4, 100);  // wanted within 500 ms
+  ASSERT_EQ(scene.sent_to(4), "");
+  scene.pass(100);
+  WorkerEntry larger = scene.worker(ejected);
+  larger.size = 10;  // and so faster: the request may start later
+  scene.list({larger}, EndpointUpdateKind::Delta);
+  scene.pass(1000);
+  EXPECT_FALSE(scene.answered(4, ActionKind::Reject));
+  scene.end(2, 0, Outcome::Success, true);
+  EXPECT_EQ(scene.sent_to(4), used);
+}
+
 }  // namespace
 }  // namespace dispatcher::scheduling::testing
