Soak: no rejection after a second beside an idle worker

The soak took any rejection in a round with a worker's fault for excused, and so did not see requests that were rejected because idle workers were not used. WorkerFaults keeps when which worker had a fault.

--- a/testbed/soak/request_ledger.cpp
+++ b/testbed/soak/request_ledger.cpp
@@ -9,6 +9,9 @@
 
 constexpr double kAnswerGraceMs = 500;  // later than that after its time a request is lost
 constexpr double kLeaveGraceMs = 100;   // no attempt may begin later after its client has left
+// A request that waits for so long beside a worker that is well must be sent there: the workers of
+// a soak always have free slots.
+constexpr double kIdleWorkerMs = 1000;
 constexpr int kOk = 200;
 constexpr int kFirstClientError = 400;
 constexpr int kTooManyRequests = 429;
@@ -33,8 +36,9 @@
 
 class RequestJudge {
  public:
-  RequestJudge(const RequestRecord& record, const AttemptsById& attempts)
-      : record_(record), id_(id_text(record.id)) {
+  RequestJudge(const RequestRecord& record, const AttemptsById& attempts,
+               const WorkerFaults& faults)
+      : record_(record), faults_(faults), id_(id_text(record.id)) {
     auto it = attempts.find(id_);
     if (it == attempts.end())
       return;
@@ -81,6 +85,13 @@
     bool excused = record_.may_be_rejected && is_rejection(response.status);
     if (response.status != kOk && record_.success_expected && !excused)
       add("not served without a cause", "");
+    if (is_rejection(response.status) && !record_.may_be_rejected && waited_beside_idle_worker())
+      add("rejected while a worker was idle", "");
+  }
+
+  bool waited_beside_idle_worker() const {
+    double from_ms = record_.ended_ms - kIdleWorkerMs;
+    return record_.sent_ms <= from_ms && faults_.any_well(from_ms, record_.ended_ms);
   }
 
   void add(const std::string& rule, const std::string& detail) {
@@ -93,6 +104,7 @@
   }
 
   const RequestRecord& record_;
+  const WorkerFaults& faults_;
   std::string id_;
   std::vector<ReceivedAttempt> begun_;
   std::vector<Violation> violations_;
@@ -130,14 +142,15 @@
   return totals;
 }
 
-std::vector<Violation> RequestLedger::judge(const std::vector<ReceivedAttempt>& attempts) const {
+std::vector<Violation> RequestLedger::judge(const std::vector<ReceivedAttempt>& attempts,
+                                            const WorkerFaults& faults) const {
   std::lock_guard lock(mutex_);
   AttemptsById by_id;
   for (const ReceivedAttempt& attempt : attempts)
     by_id[attempt.id].push_back(attempt);
   std::vector<Violation> violations;
   for (const RequestRecord& record : records_) {
-    for (Violation& violation : RequestJudge(record, by_id).judge())
+    for (Violation& violation : RequestJudge(record, by_id, faults).judge())
       violations.push_back(std::move(violation));
   }
   return violations;
--- a/testbed/soak/request_ledger.h
+++ b/testbed/soak/request_ledger.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "testbed/soak/worker_faults.h"
 #include "testbed/stubs/stubs.h"
 
 namespace dispatcher::testbed {
@@ -47,8 +48,10 @@
  public:
   void add(const RequestRecord& record);
   LedgerTotals totals() const;
-  // What the records and the workers' attempts say together. Call it once all clients have ended.
-  std::vector<Violation> judge(const std::vector<ReceivedAttempt>& attempts) const;
+  // What the records and the workers' attempts and faults say together. Call it once all clients
+  // have ended.
+  std::vector<Violation> judge(const std::vector<ReceivedAttempt>& attempts,
+                               const WorkerFaults& faults) const;
 
  private:
   mutable std::mutex mutex_;
--- a/testbed/soak/soak_run.cpp
+++ b/testbed/soak/soak_run.cpp
@@ -55,6 +55,7 @@
       plan_(std::move(plan)),
       services_(own_host(), kWorkers),
       dispatcher_(process_setup(setup_), services_),
+      worker_faults_(kWorkers),
       clients_(dispatcher_.address(), plan_.seed, conditions_, ledger_) {}
 
 std::vector<Violation> SoakRun::run() {
@@ -108,11 +109,15 @@
   change_conditions();
   services_.set_fault(round.discovery_fault);
   services_.set_fault(round.faulty_worker, round.worker_fault);
+  if (round.worker_fault != WorkerFault::None)
+    worker_faults_.begin(round.faulty_worker, steady_ms());
 }
 
 void SoakRun::end_faults(const SoakRound& round) {
   services_.set_fault(DiscoveryFault{});
   services_.set_fault(round.faulty_worker, WorkerFault::None);
+  if (round.worker_fault != WorkerFault::None)
+    worker_faults_.end(round.faulty_worker, steady_ms());
   conditions_.upload_resets = false;
   conditions_.clients_leave = false;
 }
@@ -195,7 +200,7 @@
 void SoakRun::judge() {
   std::this_thread::sleep_for(kLastAttempts);
   add_figures(dispatcher_.operators());
-  for (Violation& violation : ledger_.judge(services_.seen()))
+  for (Violation& violation : ledger_.judge(services_.seen(), worker_faults_))
     violations_.push_back(std::move(violation));
   if (clients_.refused_connections() > 0) {
     add("no process accepts connections",
--- a/testbed/soak/soak_run.h
+++ b/testbed/soak/soak_run.h
@@ -50,6 +50,7 @@
   DispatcherProcess dispatcher_;
   SoakConditions conditions_;
   RequestLedger ledger_;
+  WorkerFaults worker_faults_;
   SoakClients clients_;
   long fulfilled_ = 0;         // by the statistics of the processes
   bool figures_known_ = true;  // of all processes
