Let a lone worker have a request again after a reset, others first

Cause: refused a worker any further attempt after a reset. The recorded exchange late_done, which stays as it is, wants the retry at the only worker: by PROTOCOL a reset attempt "may have" run, where one that timed out "may have, or may yet", so a reset ends it.

Change: after a reset another worker comes first, also while it is full or holds the request; a lone one may get it again. After a cancellation or a timeout none. The test says so: its lone worker case keeps cancellation and timeout, and a reset at a lone worker is expected to be retried there.

--- a/src/scheduling/attempt_monitor.cpp
+++ b/src/scheduling/attempt_monitor.cpp
@@ -90,6 +90,7 @@
     return;
   attempt->open = false;
   attempt->may_still_run = !proves_stopped(end);
+  attempt->connection_reset = end.outcome == Outcome::ConnectionReset && !end.reported_by_worker;
   if (never_ran && !attempt->started)
     attempt->may_have_run = false;
   if (end.outcome == Outcome::NotSent && end.attempt > 0)
--- a/src/scheduling/candidate_selector.cpp
+++ b/src/scheduling/candidate_selector.cpp
@@ -35,9 +35,17 @@
 bool CandidateSelector::eligible(Worker& worker, const RequestState& state, Time now) const {
   return worker.ready && can_run(worker, state) && ejection_.accepts(worker, state, now) &&
          may_send(worker, state, settings_, now) &&
+         !(state.connection_reset_at(worker) && another_may_run(state, now)) &&
          slow_start_.within_budget(worker, state, registry_.mean_speed(), now);
 }
 
+bool CandidateSelector::another_may_run(const RequestState& state, Time now) const {
+  return state.any_open() || std::ranges::any_of(registry_.ready(), [&](const Worker* worker) {
+           return !state.connection_reset_at(*worker) && can_run(*worker, state) &&
+                  may_send(*worker, state, settings_, now);
+         });
+}
+
 bool CandidateSelector::all_workers_out(const RequestState& state, Time now) const {
   int workers_out = 0;
   for (Worker* worker : registry_.ready()) {
--- a/src/scheduling/candidate_selector.h
+++ b/src/scheduling/candidate_selector.h
@@ -89,6 +89,8 @@
   void consider(Worker& worker, const RequestState& state, const Round& round, Time now,
                 Candidate& best);
   bool can_run(const Worker& worker, const RequestState& state) const;
+  // Whether a worker has the request, or may get it, whose connection was not reset under it.
+  bool another_may_run(const RequestState& state, Time now) const;
   double crossing_cost(const RequestState& state) const;
 
   // All workers of the pool, those whose load was checked for this request, or a sample.
--- a/src/scheduling/idempotency.h
+++ b/src/scheduling/idempotency.h
@@ -1,7 +1,7 @@
 // The rules on repeating a request, asked before every send and every rejection.
 //
-// A worker gets one attempt of a request at a time: another one only once the end of the earlier
-// one has proved that the worker has stopped.
+// A worker gets one attempt of a request at a time: another one only once the earlier one has ended
+// there too. After a reset, which only the protocol takes for an end, other workers come first.
 //
 // An attempt counts as one that may have run unless its end proves the contrary. A keyed request
 // may be repeated to the workers of its deduplication scope, as listed at the send, within the
@@ -33,11 +33,11 @@
          outcome == Outcome::NotSent;
 }
 
-// Whether the end proves that the worker does not run the attempt any more. A lost connection, a
-// timeout or a cancellation proves nothing: what was written last may not have arrived.
+// Whether the attempt has ended at the worker too. A timeout or a cancellation does not say so: the
+// worker may not have received it. A reset ends the attempt by the protocol.
 constexpr bool proves_stopped(const AttemptEnd& end) {
-  return end.reported_by_worker || proves_not_run(end.outcome) || end.outcome == Outcome::Success ||
-         end.outcome == Outcome::Failure;
+  return end.reported_by_worker ||
+         (end.outcome != Outcome::TimedOut && end.outcome != Outcome::Cancelled);
 }
 
 }  // namespace dispatcher::scheduling
--- a/src/scheduling/request_state.h
+++ b/src/scheduling/request_state.h
@@ -25,8 +25,9 @@
   bool open = true;
   bool may_have_run = true;
   bool started = false;
-  bool may_still_run = true;  // nothing proves that the worker has stopped
-  bool failed = false;        // it ended with a failure or without a connection
+  bool may_still_run = true;      // nothing says that it has ended at the worker too
+  bool connection_reset = false;  // only its connection says that it has ended
+  bool failed = false;            // it ended with a failure or without a connection
   // Its failure does not count against the worker, unless another one serves the request, but
   // keeps the request from that worker.
   bool blame_deferred = false;
@@ -63,6 +64,11 @@
       return nullptr;
     return &attempts[static_cast<std::size_t>(attempt)];
   }
+  bool connection_reset_at(const Worker& worker) const {
+    return std::ranges::any_of(attempts, [&worker](const Attempt& attempt) {
+      return attempt.connection_reset && attempt.worker == &worker;
+    });
+  }
   bool blame_deferred_at(const Worker& worker) const {
     return std::ranges::any_of(attempts, [&worker](const Attempt& attempt) {
       return attempt.blame_deferred && attempt.worker == &worker;
