Restate gossip counts after a restart, so that old ones do not count for 10 s

What callers saw: after a dispatcher was restarted, the others counted the jobs of its former process at their shared workers for up to ten seconds (LoadGossip::kKept) and sent less there than they could.

Cause: a new process states a count only when it changes from 0, the value it takes its listeners to know. They know what the process before it said.

Change: LoadGossip::restate_counts() takes every listener's knowledge for unknown and notifies all of every count, 0 too, at once or with the first endpoint list. The messages are those of any count: one datagram to each listener. The simulator's adapter, which has no process before it, does not call it.

Evidence: in the new test a listener keeps 5 jobs of a process that has been replaced, and the new one has nothing to say until it restates.

--- a/src/fleet/fleet_socket.cpp
+++ b/src/fleet/fleet_socket.cpp
@@ -176,6 +176,12 @@
 
 void FleetSocket::list(const std::vector<std::string>& workers) {
   gossip_.list(workers, jobs_observer());
+  send_load_gossip();
+}
+
+void FleetSocket::restate_counts() {
+  gossip_.restate_counts(clock_.now());
+  send_load_gossip();
 }
 
 void FleetSocket::announce(const std::string& worker, int jobs) {
--- a/src/fleet/fleet_socket.h
+++ b/src/fleet/fleet_socket.h
@@ -50,6 +50,9 @@
   // Replaces the endpoint list; call after the scheduler has received it.
   void list(const std::vector<std::string>& workers);
   void announce(const std::string& worker, int jobs) override;
+  // Another process of this dispatcher has gone: what it announced at other dispatchers is replaced
+  // by this process's counts.
+  void restate_counts();
   // Off while another process of this dispatcher uses the socket: then nothing is sent or received.
   void speak(bool on);
   // Replaces the keys. No effect where there were none at the start.
--- a/src/fleet/load_gossip.cpp
+++ b/src/fleet/load_gossip.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace dispatcher::fleet {
 namespace {
@@ -91,6 +92,21 @@
   std::erase_if(workers_, [&](const auto& entry) { return !listed.contains(entry.first); });
   std::erase_if(pending_, [&](ShortName name) { return !listed.contains(name); });
   rebuild_indexes();
+  if (restate_with_list_ && !workers_.empty())
+    restate_counts(*std::exchange(restate_with_list_, std::nullopt));
+}
+
+void LoadGossip::restate_counts(Time now) {
+  if (workers_.empty()) {
+    restate_with_list_ = now;
+    return;
+  }
+  for (auto& [name, worker] : neighborhood_) {
+    for (auto& [listener, count] : worker->notified)
+      count = kUnknownCount;
+    if (has_unnotified(*worker) && pending_.insert(name).second)
+      worker->pending_since = now;
+  }
 }
 
 void LoadGossip::add_worker(ShortName name, const std::string& worker, const Changed& changed) {
--- a/src/fleet/load_gossip.h
+++ b/src/fleet/load_gossip.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -53,6 +54,10 @@
   // Replaces the endpoint list; gossip on other workers is ignored. Reports 0 jobs for each new
   // worker whose neighborhood this dispatcher belongs to.
   void list(const std::vector<std::string>& workers, const Changed& changed);
+  // What the listeners were notified of is not known, as another process of this dispatcher did it:
+  // they are notified of every count, also of 0, and of those of workers that are listed later than
+  // this call, if none has been yet.
+  void restate_counts(Time now);
   // Other dispatchers that are notified of jobs at this worker.
   std::vector<int> listeners(const std::string& worker) const;
   // Records the number of this dispatcher's own jobs at a worker.
@@ -83,6 +88,7 @@
 
  private:
   using ShortName = std::uint16_t;
+  static constexpr int kUnknownCount = -1;
   // Jobs of another dispatcher at a worker.
   struct Claim {
     int jobs = 0;
@@ -94,8 +100,8 @@
     bool ever_used = false;  // by any dispatcher
     Time pending_since{};
     Time last_sent{};
-    std::map<int, int> notified;          // count last sent, by listener; empty: not in its
-                                          // neighborhood
+    std::map<int, int> notified;          // count last sent, by listener, or kUnknownCount; empty:
+                                          // not in its neighborhood
     std::map<std::size_t, Claim> claims;  // by sender
     int claimed_jobs() const;
   };
@@ -117,6 +123,7 @@
   std::set<int> unreachable_;                  // listeners
   std::set<ShortName> pending_;                // workers with listeners still to be notified
   Time last_repeat_check_{};
+  std::optional<Time> restate_with_list_;  // restate_counts() was called then, without a list
   std::unordered_map<std::size_t, int> claimed_by_;  // jobs at all workers, by sender
 };
 
--- a/src/hot_restart/incoming_process.cpp
+++ b/src/hot_restart/incoming_process.cpp
@@ -247,8 +247,11 @@
 void IncomingProcess::on_link_ended() {
   ready_is_due_ = false;
   shared_events_.fail_forwarded();
-  if (is_serving())
-    lift_connection_limits();
+  if (!is_serving())
+    return;
+  lift_connection_limits();
+  if (fleet::FleetSocket* fleet_socket = context_.program.fleet_socket())
+    fleet_socket->restate_counts();
 }
 
 void IncomingProcess::lift_connection_limits() {
--- a/tests/fleet/load_gossip_test.cpp
+++ b/tests/fleet/load_gossip_test.cpp
@@ -221,3 +221,28 @@
     believed += n;
   CHECK(believed == kMaxJobsPerSender);
 }
+
+// Guards against jobs of a process that has been restarted, which the others count for ten seconds.
+TEST_CASE("a process that restates its counts replaces what the one before it announced") {
+  Three s;
+  Heard at_first;
+  s.first.take(at(0), 0, tells(s.self, 0, s.w, 5), at_first.changed);
+  REQUIRE(at_first.jobs[s.w] == 5);
+  LoadGossip restarted(0, kFleet);
+  SECTION("before the first endpoint list") {
+    restarted.restate_counts(at(1000));
+    CHECK(restarted.due(at(1000)).empty());
+    restarted.list({s.w}, s.unused.changed);
+  }
+  SECTION("after it") {
+    restarted.list({s.w}, s.unused.changed);
+    CHECK(restarted.due(at(1000)).empty());
+    restarted.restate_counts(at(1000));
+  }
+  auto messages = restarted.due(at(1000));
+  CHECK(messages.size() == s.others.size());
+  for (const LoadGossip::Message& message : messages)
+    s.first.take(at(1001), 0, message.bytes, at_first.changed);
+  CHECK(at_first.jobs[s.w] == 0);
+  CHECK(restarted.due(at(2000)).empty());
+}
