--- a/testbed/main.cpp
+++ b/testbed/main.cpp
@@ -34,6 +34,13 @@
   std::uint64_t seed = 1;
   int seeds = 1;
   int rounds = 4;
+  bool one_end_only = false;
+
+  EarlierProgram earlier_program() const {
+    if (setup.earlier_program.empty())
+      return EarlierProgram::None;
+    return one_end_only ? EarlierProgram::OneEndOnly : EarlierProgram::Drawn;
+  }
 };
 
 CLI::App* add_soak_command(CLI::App& app, SoakOptions& options) {
@@ -45,6 +52,8 @@
   command->add_option("--program", options.setup.program, "build/dispatcher");
   command->add_option("--earlier-program", options.setup.earlier_program,
                       "one of an earlier version, started in turn with it");
+  command->add_flag("--one-end-only", options.one_end_only,
+                    "in no hot restart are both processes of the earlier version");
   command->add_option("--config", options.setup.config, "examples/config.json");
   return command;
 }
@@ -65,8 +74,7 @@
   for (int i = 0; i < options.seeds; ++i) {
     std::uint64_t seed = options.seed + static_cast<std::uint64_t>(i);
     std::printf("seed %llu\n", static_cast<unsigned long long>(seed));
-    bool has_earlier = !options.setup.earlier_program.empty();
-    SoakRun soak(options.setup, draw_soak_plan(seed, options.rounds, has_earlier));
+    SoakRun soak(options.setup, draw_soak_plan(seed, options.rounds, options.earlier_program()));
     std::vector<Violation> violations = soak.run();
     for (const Violation& violation : violations) {
       std::printf("seed %llu broken: %s: %s\n", static_cast<unsigned long long>(seed),
--- a/testbed/soak/soak_plan.cpp
+++ b/testbed/soak/soak_plan.cpp
@@ -68,6 +68,22 @@
   return round;
 }
 
+bool is_hot_restart(SoakEvent event) {
+  return event == SoakEvent::HotRestart || event == SoakEvent::HotRestartTerminatedEarly;
+}
+
+// The first process is of the current version; a reload starts none.
+void keep_one_end_current(SoakPlan& plan) {
+  bool serving_is_earlier = false;
+  for (SoakRound& round : plan.rounds) {
+    if (round.event == SoakEvent::Reload)
+      continue;
+    if (serving_is_earlier && is_hot_restart(round.event))
+      round.earlier_program = false;
+    serving_is_earlier = round.earlier_program;
+  }
+}
+
 const char* name_of(SoakEvent event) {
   switch (event) {
     case SoakEvent::HotRestart:
@@ -88,11 +104,13 @@
 
 }  // namespace
 
-SoakPlan draw_soak_plan(std::uint64_t seed, int rounds, bool has_earlier) {
+SoakPlan draw_soak_plan(std::uint64_t seed, int rounds, EarlierProgram earlier_program) {
   Draw draw(seed);
   SoakPlan plan{.seed = seed, .rounds = {}};
   for (int i = 0; i < rounds; ++i)
-    plan.rounds.push_back(draw_round(draw, has_earlier));
+    plan.rounds.push_back(draw_round(draw, earlier_program != EarlierProgram::None));
+  if (earlier_program == EarlierProgram::OneEndOnly)
+    keep_one_end_current(plan);
   return plan;
 }
 
--- a/testbed/soak/soak_plan.h
+++ b/testbed/soak/soak_plan.h
@@ -44,8 +44,14 @@
   std::vector<SoakRound> rounds;
 };
 
-// `has_earlier`: a program of an earlier version can be started.
-SoakPlan draw_soak_plan(std::uint64_t seed, int rounds, bool has_earlier);
+// Which processes of a soak are of an earlier version.
+enum class EarlierProgram {
+  None,
+  Drawn,      // as drawn for each start
+  OneEndOnly  // as drawn, but in no hot restart both processes
+};
+
+SoakPlan draw_soak_plan(std::uint64_t seed, int rounds, EarlierProgram earlier_program);
 
 // A line for the output.
 std::string describe(const SoakRound& round);
