--- a/tests/scheduling/all_workers_ejected_test.cpp
+++ b/tests/scheduling/all_workers_ejected_test.cpp
@@ -4,6 +4,15 @@
 namespace dispatcher::scheduling::testing {
 namespace {
 
+// Twenty requests at once, the first good ones of this fleet.
+void expect_crowd_served(HealthyFleet& fleet) {
+  for (int i = 0; i < 20; ++i)
+    fleet.submit();
+  fleet.run(kObjectiveMs);
+  EXPECT_EQ(fleet.turned_away, 0);
+  EXPECT_EQ(fleet.served.size(), 20U);
+}
+
 // Guards against requests that are rejected while all workers are idle and well: a few requests
 // that break whichever worker they reach had put every worker out.
 TEST(AllWorkersEjected, ACrowdIsServedAfterAFewBadRequests) {
@@ -30,11 +39,7 @@
     fleet.submit_bad({Outcome::Failure});
     fleet.run(30);
   }
-  for (int i = 0; i < 20; ++i)
-    fleet.submit();
-  fleet.run(kObjectiveMs);
-  EXPECT_EQ(fleet.turned_away, 0);
-  EXPECT_EQ(fleet.served.size(), 20U);
+  expect_crowd_served(fleet);
 }
 
 // Workers that fail every request of a class get few of them, also where all do.
@@ -89,11 +94,7 @@
     fleet.run(30);
   }
   fleet.run(1200);  // both recover by a probe
-  for (int i = 0; i < 20; ++i)
-    fleet.submit();
-  fleet.run(kObjectiveMs);
-  EXPECT_EQ(fleet.turned_away, 0);
-  EXPECT_EQ(fleet.served.size(), 20U);
+  expect_crowd_served(fleet);
 }
 
 // The slow start of workers that are listed as restarted holds, however many requests wait.
