Soak: workers that drain or leave the endpoint list for a while

Each round may now have a worker that the list shows as draining, or not at all, for as long as the round's faults last. No request may fail for that. A worker counts as well again 6 s after the list shows it as up, the longest that a change may take to be told. Restarted workers with their slow start, resets by workers, several dispatchers, SIGKILL in a hot restart and streamed bodies are still not in it.

--- a/testbed/soak/soak_plan.cpp
+++ b/testbed/soak/soak_plan.cpp
@@ -68,6 +68,13 @@
   return round;
 }
 
+void draw_list_change(Draw& draw, SoakRound& round) {
+  static constexpr std::array kChanges{ListChange::None, ListChange::None, ListChange::Draining,
+                                       ListChange::Removed};
+  round.list_change = draw.one_of(kChanges);
+  round.changed_worker = draw.number(0, kWorkers - 1);
+}
+
 bool is_hot_restart(SoakEvent event) {
   return event == SoakEvent::HotRestart || event == SoakEvent::HotRestartTerminatedEarly;
 }
@@ -109,6 +116,9 @@
   SoakPlan plan{.seed = seed, .rounds = {}};
   for (int i = 0; i < rounds; ++i)
     plan.rounds.push_back(draw_round(draw, earlier_program != EarlierProgram::None));
+  // After all the rest, so that the seeds of before keep their draws.
+  for (SoakRound& round : plan.rounds)
+    draw_list_change(draw, round);
   if (earlier_program == EarlierProgram::OneEndOnly)
     keep_one_end_current(plan);
   return plan;
@@ -122,6 +132,9 @@
   text += round.upload_resets ? ", resets" : "";
   if (round.worker_fault != WorkerFault::None)
     text += name_of(round.worker_fault);
+  if (round.list_change != ListChange::None)
+    text +=
+        round.list_change == ListChange::Draining ? ", a worker drains" : ", a worker is removed";
   if (round.discovery_fault.kind == DiscoveryFault::Down)
     text += ", discovery is down";
   if (round.discovery_fault.kind == DiscoveryFault::Slow)
--- a/testbed/soak/soak_plan.h
+++ b/testbed/soak/soak_plan.h
@@ -17,6 +17,9 @@
   Reload                      // SIGHUP only
 };
 
+// What the endpoint list says of a worker for as long as the faults of its round last.
+enum class ListChange { None, Draining, Removed };
+
 struct SoakRound {
   SoakEvent event = SoakEvent::HotRestart;
   std::chrono::milliseconds calm{0};  // before the event
@@ -26,6 +29,8 @@
   bool upload_resets = false;  // workers reset some connections before the request is complete
   WorkerFault worker_fault = WorkerFault::None;
   int faulty_worker = 0;
+  ListChange list_change = ListChange::None;
+  int changed_worker = 0;
   DiscoveryFault discovery_fault;
   std::chrono::milliseconds discovery_fault_lasts{0};
   int hangups = 0;  // SIGHUP, in series
@@ -34,8 +39,8 @@
   std::chrono::milliseconds termination_delay{0};  // of HotRestartTerminatedEarly, from the start
   std::chrono::milliseconds balancer_notices{0};   // of Restart, from SIGTERM
 
-  // Whether a request may fail. Faults of discovery are no excuse: the endpoint list is known, or
-  // the process is not ready.
+  // Whether a request may fail. Neither faults of discovery are an excuse, as the endpoint list is
+  // known or the process is not ready, nor a list that changes.
   bool has_worker_fault() const { return upload_resets || worker_fault != WorkerFault::None; }
 };
 
--- a/testbed/soak/soak_run.cpp
+++ b/testbed/soak/soak_run.cpp
@@ -17,6 +17,8 @@
 constexpr int kSockets = 1024;
 constexpr std::chrono::milliseconds kFigurePollInterval{10};
 constexpr int kFigurePolls = 400;
+// A dispatcher knows of a change of the endpoint list this late.
+constexpr double kListDelayMs = 6000;
 // A request's attempt is recorded at its end, which a slow worker reaches this late.
 constexpr std::chrono::milliseconds kLastAttempts{1500};
 
@@ -111,6 +113,11 @@
   services_.set_fault(round.faulty_worker, round.worker_fault);
   if (round.worker_fault != WorkerFault::None)
     worker_faults_.begin(round.faulty_worker, steady_ms());
+  if (round.list_change != ListChange::None) {
+    services_.set_state(round.changed_worker,
+                        round.list_change == ListChange::Draining ? "draining" : "removed");
+    worker_faults_.begin(round.changed_worker, steady_ms());
+  }
 }
 
 void SoakRun::end_faults(const SoakRound& round) {
@@ -118,6 +125,10 @@
   services_.set_fault(round.faulty_worker, WorkerFault::None);
   if (round.worker_fault != WorkerFault::None)
     worker_faults_.end(round.faulty_worker, steady_ms());
+  if (round.list_change != ListChange::None) {
+    services_.set_state(round.changed_worker, "up");
+    worker_faults_.end(round.changed_worker, steady_ms() + kListDelayMs);
+  }
   conditions_.upload_resets = false;
   conditions_.clients_leave = false;
 }
--- a/testbed/soak/worker_faults.cpp
+++ b/testbed/soak/worker_faults.cpp
@@ -9,7 +9,8 @@
 }
 
 void WorkerFaults::end(int worker, double at_ms) {
-  spans_.at(static_cast<std::size_t>(worker)).back().to_ms = at_ms;
+  std::vector<Span>& spans = spans_.at(static_cast<std::size_t>(worker));
+  std::ranges::find(spans, kUnended, &Span::to_ms)->to_ms = at_ms;
 }
 
 bool WorkerFaults::any_well(double from_ms, double to_ms) const {
