--- a/testbed/soak/soak_plan.cpp
+++ b/testbed/soak/soak_plan.cpp
@@ -105,6 +105,10 @@
   return "";
 }
 
+const char* name_of(ListChange change) {
+  return change == ListChange::Draining ? ", a worker drains" : ", a worker is removed";
+}
+
 const char* name_of(WorkerFault fault) {
   return fault == WorkerFault::Hang ? ", a worker hangs" : ", a worker fails";
 }
@@ -133,8 +137,7 @@
   if (round.worker_fault != WorkerFault::None)
     text += name_of(round.worker_fault);
   if (round.list_change != ListChange::None)
-    text +=
-        round.list_change == ListChange::Draining ? ", a worker drains" : ", a worker is removed";
+    text += name_of(round.list_change);
   if (round.discovery_fault.kind == DiscoveryFault::Down)
     text += ", discovery is down";
   if (round.discovery_fault.kind == DiscoveryFault::Slow)
--- a/tests/scheduling/healthy_fleet.h
+++ b/tests/scheduling/healthy_fleet.h
@@ -28,8 +28,8 @@
 // with success. A bad request ends as the test says.
 class HealthyFleet : public Scene {
  public:
-  HealthyFleet(Idempotency idempotency, const std::vector<std::string>& names)
-      : Scene(with_health_checks(idempotency)), names_(names) {
+  HealthyFleet(Idempotency idempotency, std::vector<std::string> names)
+      : Scene(with_health_checks(idempotency)), names_(std::move(names)) {
     list(worker_entries(*this, names_));
     perform();
   }
