--- a/tests/scheduling/all_workers_ejected_test.cpp
+++ b/tests/scheduling/all_workers_ejected_test.cpp
@@ -99,8 +99,9 @@
 
 // The slow start of workers that are listed as restarted holds, however many requests wait.
 TEST(AllWorkersEjected, RestartedWorkersKeepTheirSlowStart) {
-  HealthyFleet fleet(Idempotency::NonIdempotent, {"a", "b"});
-  std::vector<WorkerEntry> restarted = worker_entries(fleet, {"a", "b"});
+  const std::vector<std::string> names{"a", "b"};
+  HealthyFleet fleet(Idempotency::NonIdempotent, names);
+  std::vector<WorkerEntry> restarted = worker_entries(fleet, names);
   for (WorkerEntry& entry : restarted)
     entry.online_since = fleet.now;
   fleet.list(restarted);
