--- a/include/dispatcher/scheduling/types.h
+++ b/include/dispatcher/scheduling/types.h
@@ -155,8 +155,8 @@
   std::string_view worker;
   Outcome outcome = Outcome::NotSent;
   LoadReport report{};
-  // The worker itself has reported the end. Without it, a reset, a timeout and a cancellation leave
-  // open whether the worker still runs the job.
+  // The worker itself has reported the end. Without it, a timeout and a cancellation leave open
+  // whether the job still runs there, and a reset ends it by the protocol only.
   bool reported_by_worker = false;
 };
 
