State gossip counts once at a start; sort by a projection

Cause: a start with an operators' address restated the counts at the socket's start and again as no predecessor was there.

--- a/src/program/dispatcher_process.cpp
+++ b/src/program/dispatcher_process.cpp
@@ -174,8 +174,11 @@
 void DispatcherProcess::run() {
   // Without a hot restart before app_.start(), so that the endpoint list is announced from the
   // beginning; otherwise once this process serves.
-  if (local_socket_path_.empty())
+  if (local_socket_path_.empty()) {
     start_fleet_socket({});
+    if (fleet_socket_)
+      fleet_socket_->restate_counts();
+  }
   serve_operators();
   app_.start();
   serve_clients();
@@ -221,13 +224,10 @@
 void DispatcherProcess::start_fleet_socket(hot_restart::InheritedFleetState inherited) {
   if (config_.peer_listen.empty() || fleet_socket_)
     return;
-  bool hot_restart = static_cast<bool>(inherited.socket);
   try {
     fleet_socket_.emplace(loop_.context(), fleet_options(inherited), deadlines_, clock_, log_,
                           std::move(inherited.socket));
     app_.attach_gossip(*fleet_socket_);
-    if (!hot_restart)
-      fleet_socket_->restate_counts();
   } catch (const std::runtime_error& error) {
     log_.line("peers", std::string("serves without load gossip: ") + error.what());
   }
--- a/src/scheduling/outlier_ejection.cpp
+++ b/src/scheduling/outlier_ejection.cpp
@@ -79,8 +79,7 @@
            now - worker->reported_at >= kUrgentProbeInterval;
   });
   const auto count = std::min(std::ssize(due), kMaximumUrgentProbes);
-  std::ranges::partial_sort(due, due.begin() + count, {},
-                            [](const Worker* worker) { return worker->reported_at; });
+  std::ranges::partial_sort(due, due.begin() + count, {}, &Worker::reported_at);
   due.resize(static_cast<std::size_t>(count));
   for (Worker* worker : due)
     check_health(*worker, now);
