Keep an attempt's outcome in place of three flags that follow from it

Attempt had seven flags; may_still_run, connection_reset and failed were set in two places from the outcome and its source. Now it keeps these two, and the three are questions to it; proves_stopped() is not needed. The three scenes of the last OneAttemptPerWorker case are one table, with a cancellation that the worker has confirmed as a fourth row.

--- a/src/scheduling/attempt_monitor.cpp
+++ b/src/scheduling/attempt_monitor.cpp
@@ -89,8 +89,8 @@
   if (!attempt->open || attempt->worker->id != end.worker)
     return;
   attempt->open = false;
-  attempt->may_still_run = !proves_stopped(end);
-  attempt->connection_reset = end.outcome == Outcome::ConnectionReset && !end.reported_by_worker;
+  attempt->outcome = end.outcome;
+  attempt->reported_by_worker = end.reported_by_worker;
   if (never_ran && !attempt->started)
     attempt->may_have_run = false;
   if (end.outcome == Outcome::NotSent && end.attempt > 0)
--- a/src/scheduling/attempt_recorder.cpp
+++ b/src/scheduling/attempt_recorder.cpp
@@ -29,14 +29,9 @@
   worker.started_slots = 0;
 }
 
-bool is_failure(Outcome outcome) {
-  return outcome == Outcome::Failure || outcome == Outcome::ConnectionReset ||
-         outcome == Outcome::ConnectFailed;
-}
-
 bool failed_at_another(const RequestState& state, const Worker& worker) {
   return std::ranges::any_of(state.attempts, [&worker](const Attempt& attempt) {
-    return attempt.failed && attempt.worker != &worker;
+    return attempt.failed() && attempt.worker != &worker;
   });
 }
 
@@ -86,7 +81,6 @@
   const auto found = requests_.find(end.id);
   Attempt* attempt = found == requests_.end() ? nullptr : found->second.find(end.attempt);
   if (attempt) {
-    attempt->failed = is_failure(end.outcome);
     if (end.outcome == Outcome::Failure && failed_at_another(found->second, worker)) {
       attempt->blame_deferred = true;
       return;
--- a/src/scheduling/idempotency.cpp
+++ b/src/scheduling/idempotency.cpp
@@ -47,7 +47,7 @@
   return std::ranges::all_of(state.attempts, [&](const Attempt& attempt) {
     if (attempt.open && !settings.hedging_allowed)
       return false;
-    if (attempt.may_still_run && attempt.worker == &worker)
+    if (attempt.may_still_run() && attempt.worker == &worker)
       return false;
     if (!attempt.may_have_run || class_settings.idempotency == Idempotency::Idempotent)
       return true;
--- a/src/scheduling/idempotency.h
+++ b/src/scheduling/idempotency.h
@@ -33,11 +33,4 @@
          outcome == Outcome::NotSent;
 }
 
-// Whether the attempt has ended at the worker too. A timeout or a cancellation does not say so: the
-// worker may not have received it. A reset ends the attempt by the protocol.
-constexpr bool proves_stopped(const AttemptEnd& end) {
-  return end.reported_by_worker ||
-         (end.outcome != Outcome::TimedOut && end.outcome != Outcome::Cancelled);
-}
-
 }  // namespace dispatcher::scheduling
--- a/src/scheduling/request_state.h
+++ b/src/scheduling/request_state.h
@@ -25,12 +25,26 @@
   bool open = true;
   bool may_have_run = true;
   bool started = false;
-  bool may_still_run = true;      // nothing says that it has ended at the worker too
-  bool connection_reset = false;  // only its connection says that it has ended
-  bool failed = false;            // it ended with a failure or without a connection
+  std::optional<Outcome> outcome{};  // once it has ended
+  bool reported_by_worker = false;   // the outcome; see AttemptEnd
   // Its failure does not count against the worker, unless another one serves the request, but
   // keeps the request from that worker.
   bool blame_deferred = false;
+
+  // Whether it may not have ended at the worker: a timeout or a cancellation may not have reached
+  // it. A reset ends the attempt by the protocol.
+  bool may_still_run() const {
+    return !outcome || (!reported_by_worker &&
+                        (*outcome == Outcome::TimedOut || *outcome == Outcome::Cancelled));
+  }
+  // Only its connection says that it has ended.
+  bool connection_reset() const {
+    return outcome == Outcome::ConnectionReset && !reported_by_worker;
+  }
+  bool failed() const {
+    return outcome == Outcome::Failure || outcome == Outcome::ConnectionReset ||
+           outcome == Outcome::ConnectFailed;
+  }
 };
 
 // Order of the pending requests: the lower value first, then the earlier objective deadline.
@@ -66,7 +80,7 @@
   }
   bool connection_reset_at(const Worker& worker) const {
     return std::ranges::any_of(attempts, [&worker](const Attempt& attempt) {
-      return attempt.connection_reset && attempt.worker == &worker;
+      return attempt.connection_reset() && attempt.worker == &worker;
     });
   }
   bool blame_deferred_at(const Worker& worker) const {
--- a/tests/scheduling/one_attempt_per_worker_test.cpp
+++ b/tests/scheduling/one_attempt_per_worker_test.cpp
@@ -32,7 +32,7 @@
     actions.clear();
     scheduler.on_health_check_result(now, name, Outcome::Success, {}, actions);
   }
-  void end_by_worker(int attempt, Outcome outcome) {
+  void end_at_worker(int attempt, Outcome outcome, bool reported_by_worker) {
     std::string named = attempt_worker.at({1, attempt});
     actions.clear();
     scheduler.on_attempt_end(now,
@@ -40,7 +40,7 @@
                               .attempt = attempt,
                               .worker = named,
                               .outcome = outcome,
-                              .reported_by_worker = true},
+                              .reported_by_worker = reported_by_worker},
                              actions);
   }
 
@@ -86,30 +86,30 @@
   }
 }
 
+// The outcome, and whether the worker itself has reported it.
+struct EndAtWorker {
+  Outcome outcome;
+  bool reported_by_worker;
+};
+
 // A worker that has said that the job is over, or has shown that it never began, may get it again;
 // a lone one also after a reset.
-TEST(OneAttemptPerWorker, AnotherFollowsOnceTheWorkerHasStopped) {
-  RepeatScene lost(Idempotency::Idempotent);
-  lost.list({lost.worker("a")});
-  lost.send_and_start();
-  lost.end_by_worker(0, Outcome::ConnectionReset);
-  lost.recover("a");
-  EXPECT_EQ(lost.sent_to(1), "a");
-
-  RepeatScene reset(Idempotency::Idempotent);
-  reset.list({reset.worker("a")});
-  reset.send_and_start();
-  reset.end(1, 0, Outcome::ConnectionReset);
-  reset.recover("a");
-  EXPECT_EQ(reset.sent_to(1), "a") << "no other worker is there";
-
-  RepeatScene rejected(Idempotency::Idempotent);
-  rejected.list({rejected.worker("a")});
-  rejected.request(1, 20);
-  ASSERT_EQ(rejected.sent_to(1), "a");
-  rejected.end(1, 0, Outcome::Rejected);
-  rejected.pass(1000);
-  EXPECT_EQ(rejected.sent_to(1), "a");
+TEST(OneAttemptPerWorker, AnotherFollowsOnceTheFirstHasEndedAtTheWorker) {
+  for (const EndAtWorker& end :
+       {EndAtWorker{Outcome::ConnectionReset, true}, EndAtWorker{Outcome::ConnectionReset, false},
+        EndAtWorker{Outcome::Cancelled, true}, EndAtWorker{Outcome::Rejected, false}}) {
+    RepeatScene scene(Idempotency::Idempotent);
+    scene.list({scene.worker("a")});
+    scene.request(1, 20);
+    ASSERT_EQ(scene.sent_to(1), "a");
+    scene.end_at_worker(0, end.outcome, end.reported_by_worker);
+    std::string sends = scene.sent_to(1);
+    scene.recover("a");  // a reset has ejected it
+    sends += scene.sent_to(1);
+    scene.pass(1000);  // a worker that rejects is left alone for a moment
+    sends += scene.sent_to(1);
+    EXPECT_EQ(sends, "a") << static_cast<int>(end.outcome);
+  }
 }
 
 }  // namespace
