Trace the job events that end a job or find no open attempt

Cause: the trace has the end of an attempt, not whether a job event or the connection said so, and nothing of an event that finds no open attempt.

Change: a line 'job_event ID ATTEMPT WORKER OUTCOME', with attempt -1 where none is open; 'goes_on' for a start or progress there.

--- a/src/routing/request_trace.cpp
+++ b/src/routing/request_trace.cpp
@@ -24,6 +24,12 @@
     write("ended", id, attempt, with_outcome(worker, outcome));
 }
 
+void RequestTrace::job_event(scheduling::RequestId id, int attempt, const std::string& worker,
+                             std::optional<scheduling::Outcome> end) const {
+  if (sink_)
+    write("job_event", id, attempt, end ? with_outcome(worker, *end) : worker + " goes_on");
+}
+
 void RequestTrace::health_checked(const std::string& worker, scheduling::Outcome outcome) const {
   if (sink_)
     write("health_check", 0, kNoAttempt, with_outcome(worker, outcome));
--- a/src/routing/request_trace.h
+++ b/src/routing/request_trace.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -31,6 +32,10 @@
   }
   void ended(scheduling::RequestId id, int attempt, const std::string& worker,
              scheduling::Outcome outcome) const;
+  // A worker's job event that ends a job or names no open attempt (kNoAttempt); `end`: as it
+  // reports it, nothing for a start or progress.
+  void job_event(scheduling::RequestId id, int attempt, const std::string& worker,
+                 std::optional<scheduling::Outcome> end) const;
   void health_checked(const std::string& worker, scheduling::Outcome outcome) const;
 
  private:
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -59,9 +59,14 @@
     return;  // ended or never known: workers repeat events, and send some late
   OpenRequest& request = *table_.find(*ref);
   std::optional<int> attempt = request.open_attempt_at(event.worker);
+  bool ends_job = !event.started && !event.progress;
+  if (ends_job || !attempt) {
+    trace_.job_event(event.id, attempt.value_or(RequestTrace::kNoAttempt), event.worker,
+                     ends_job ? std::optional(event.outcome) : std::nullopt);
+  }
   if (!attempt)
     return;
-  if (!event.started && !event.progress) {
+  if (ends_job) {
     ports_.workers.forget_attempt({*ref, *attempt});
     return end_attempt({*ref, *attempt}, event.outcome, event.report,
                        {std::move(event.result), {}, {}, {}}, EndSource::JobEvent);
