Take no late end of an earlier attempt for that of the retry at the same worker

Cause: a job event names a request and a worker, no attempt, and a worker repeats one until it is answered. Router::on_job_event() took 'lost', 'returned' or 'failed' for the end of the open attempt there (OpenRequest::open_attempt_at()), as the worker's own word, after which may_send() lets that worker have the request again while the retry runs.

Change: such an end is ambiguous where an earlier attempt at the worker may still report. The scheduler is asked: if another attempt could follow, the open one is cancelled and ends when the worker has answered the DELETE with 2xx or 404, which proves that nothing of the request runs there; without that answer the worker gets no other. Where none could follow (must not run twice, last attempt, window over, no cancellation) the attempt goes on. Attempts without an earlier one at their worker are as before.

Why this works: the next send to that worker needs a proof that does not depend on which attempt the event was of. Ignoring such events would leave a retry that is really lost without a successor until its client's time is up.

--- a/include/dispatcher/scheduling/scheduler.h
+++ b/include/dispatcher/scheduling/scheduler.h
@@ -33,6 +33,8 @@
   void on_request(Time now, const Request& request, Actions& out);
   void on_job_event(Time now, RequestId id, int attempt, std::string_view worker, JobEventKind kind,
                     Actions& out);
+  // The worker has reported an end that is of this open attempt or of an earlier one there.
+  void on_ambiguous_end(Time now, RequestId id, int attempt, Actions& out);
   void on_attempt_end(Time now, const AttemptEnd& end, Actions& out);
   void on_health_check_result(Time now, std::string_view worker, Outcome outcome,
                               const LoadReport& report, Actions& out);
--- a/include/dispatcher/scheduling/types.h
+++ b/include/dispatcher/scheduling/types.h
@@ -165,12 +165,13 @@
 // What the caller is to do, at once and in order.
 struct Action {
   ActionKind kind = ActionKind::Log;
-  RequestId id = 0;           // Send, Reject, Fail, Cancel
-  int attempt = 0;            // Cancel
-  std::string_view worker{};  // Send, HealthCheck; valid until the next event
-  Time at{};                  // SetTimer
-  Duration retry_after{0};    // Reject: advice; 0: none
-  std::string text{};         // Log
+  RequestId id = 0;                  // Send, Reject, Fail, Cancel
+  int attempt = 0;                   // Cancel
+  bool awaits_confirmation = false;  // Cancel: the attempt ends once its worker has confirmed it
+  std::string_view worker{};         // Send, HealthCheck; valid until the next event
+  Time at{};                         // SetTimer
+  Duration retry_after{0};           // Reject: advice; 0: none
+  std::string text{};                // Log
 };
 
 using Actions = std::vector<Action>;
--- a/src/http/worker_client.cpp
+++ b/src/http/worker_client.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+// wire: answers to DELETE /jobs/ID. Not found: there is no such job any more.
+bool confirms_cancellation(int status) {
+  return status / 100 == 2 || status == 404;
+}
+
 bool is_reply_head(const protocol::Message& head) {
   return head.status == 200;
 }
@@ -137,6 +142,25 @@
     send_cancellation(attempt);
 }
 
+// Where an answer to the submit is still to come it is awaited: a connection that is closed before
+// it says nothing of what the worker has read.
+void WorkerClient::cancel_and_confirm(AttemptRef attempt) {
+  auto it = attempts_.find(attempt);
+  if (it == attempts_.end() || it->second.cancelled)
+    return;
+  it->second.awaits_confirmation = true;
+  if (!it->second.connection)
+    on_accepted(attempt);
+}
+
+// The worker has the job and sends its events; a cancellation that waited for that goes out.
+void WorkerClient::on_accepted(AttemptRef attempt) {
+  ActiveAttempt& active = attempts_.at(attempt);
+  active.connection.reset();
+  if (active.awaits_confirmation && !std::exchange(active.cancelled, true))
+    send_cancellation(attempt);
+}
+
 void WorkerClient::abandon_attempt(AttemptRef attempt) {
   close_call(*remove_attempt(attempt)->connection);
 }
@@ -166,11 +190,34 @@
 void WorkerClient::on_cancellation_written(Call& call) {
   if (!call.cancelled_attempt)
     return;
+  call.cancellation_written = true;
+  auto it = attempts_.find(*call.cancelled_attempt);
+  if (it != attempts_.end() && it->second.awaits_confirmation)
+    return;
   AttemptRef attempt = *std::exchange(call.cancelled_attempt, std::nullopt);
   if (remove_attempt(attempt))
     router_->attempt_ended(attempt, Outcome::Cancelled, {});
 }
 
+void WorkerClient::on_cancellation_answered(Call& call, int status) {
+  on_cancellation_written(call);
+  if (!call.cancelled_attempt || !remove_attempt(*call.cancelled_attempt))
+    return;
+  if (confirms_cancellation(status)) {
+    router_->attempt_stopped(*call.cancelled_attempt);
+  } else {
+    router_->attempt_ended(*call.cancelled_attempt, Outcome::Cancelled, {});
+  }
+}
+
+// One that was written cancels the attempt, as far as this side can tell.
+void WorkerClient::on_cancellation_failed(const Call& call) {
+  if (!call.cancellation_written)
+    return schedule_cancellation(*call.cancelled_attempt);
+  if (remove_attempt(*call.cancelled_attempt))
+    router_->attempt_ended(*call.cancelled_attempt, Outcome::Cancelled, {});
+}
+
 void WorkerClient::cancel_job(const std::string& worker, const std::string& id) {
   auto it = workers_.find(worker);
   if (it == workers_.end())
--- a/src/http/worker_client.h
+++ b/src/http/worker_client.h
@@ -45,6 +45,7 @@
               std::shared_ptr<const routing::RequestPayload> payload,
               scheduling::Time deadline) override;
   void cancel(routing::AttemptRef attempt) override;
+  void cancel_and_confirm(routing::AttemptRef attempt) override;
   void forget_attempt(routing::AttemptRef attempt) override;
   bool fully_sent(routing::AttemptRef attempt) const override;
   void check_health(const std::string& worker) override;
@@ -92,8 +93,9 @@
     // Of a health check or a cancellation on a connection that was used before: the call, to be
     // repeated on a new one.
     std::string repeatable_bytes;
-    // Of a cancellation that has not been written yet.
+    // Of a cancellation whose attempt has not ended yet.
     std::optional<routing::AttemptRef> cancelled_attempt;
+    bool cancellation_written = false;
 
     // Of a submit, until it is accepted or has ended.
     std::optional<routing::AttemptRef> attempt;
@@ -115,6 +117,7 @@
     std::string id;
     std::optional<transport::SlotRef> connection;  // until the worker has accepted it
     bool cancelled = false;                        // the worker has to be informed
+    bool awaits_confirmation = false;  // cancelled once accepted, and ends with the worker's answer
     transport::Deadlines::Handle next_cancellation = {};
   };
 
@@ -125,7 +128,10 @@
   void abandon_attempt(routing::AttemptRef attempt);
   void send_cancellation(routing::AttemptRef attempt);
   void schedule_cancellation(routing::AttemptRef attempt);
+  void on_accepted(routing::AttemptRef attempt);
   void on_cancellation_written(Call& call);
+  void on_cancellation_answered(Call& call, int status);
+  void on_cancellation_failed(const Call& call);
 
   // Calls and their connections
   Call* find(transport::SlotRef connection);
--- a/src/http/worker_client_calls.cpp
+++ b/src/http/worker_client_calls.cpp
@@ -180,7 +180,7 @@
     auto answer = protocol::parse_health_check_answer(message, platform_.words);
     return router_->health_check_ended(call.worker, *answer.end, answer.report);
   }
-  on_cancellation_written(call);
+  on_cancellation_answered(call, message.status);
   if (call.attempt)
     on_submit_answer(call, message);
 }
@@ -192,10 +192,8 @@
     platform_.log.line("worker", call.worker + ": answered before it had the whole request");
     answer.end = Outcome::ConnectFailed;
   }
-  if (!answer.end) {  // accepted: job events follow
-    attempts_.at(*call.attempt).connection.reset();
-    return;
-  }
+  if (!answer.end)
+    return on_accepted(*call.attempt);
   remove_attempt(*call.attempt);
   routing::Reply reply;
   if (answer.end == Outcome::Success) {
@@ -258,7 +256,7 @@
   if (call.kind == CallKind::HealthCheck)
     return router_->health_check_ended(call.worker, outcome, {});
   if (call.cancelled_attempt)
-    schedule_cancellation(*call.cancelled_attempt);
+    on_cancellation_failed(call);
   if (!call.attempt)
     return;
   remove_attempt(*call.attempt);
--- a/src/http/worker_client_streams.cpp
+++ b/src/http/worker_client_streams.cpp
@@ -64,10 +64,10 @@
 // The worker accepted the job before its upload was complete; now it is, and job events follow.
 void WorkerClient::finish_early_accepted(SlotRef connection) {
   Call call = std::move(calls_.at(connection));
-  if (call.attempt)
-    attempts_.at(*call.attempt).connection.reset();
   drop_call(connection);
   reuse_or_close(connection, call.worker, call.keep_connection);
+  if (call.attempt)
+    on_accepted(*call.attempt);
 }
 
 // The attempt ends as served with the head of the reply. If the body fails later, the client's
--- a/src/routing/ports.h
+++ b/src/routing/ports.h
@@ -60,8 +60,8 @@
 };
 
 // An attempt begins at its worker with the last byte of the upload; an end by then is reported as
-// ConnectFailed. Each end comes back once, through Router::attempt_ended() or
-// Router::health_check_ended().
+// ConnectFailed. Each end comes back once, through Router::attempt_ended(),
+// Router::attempt_stopped() or Router::health_check_ended().
 class WorkerPort {
  public:
   virtual ~WorkerPort() = default;
@@ -72,6 +72,10 @@
   // The end is reported as Cancelled once the attempt is cancelled, or as whatever comes first;
   // NotSent if it had not begun.
   virtual void cancel(AttemptRef attempt) = 0;
+  // Like cancel(), but an accepted attempt is reported through Router::attempt_stopped() once the
+  // worker has confirmed that it does not run it any more. One that is not accepted yet is
+  // cancelled once it is, or ends as any other.
+  virtual void cancel_and_confirm(AttemptRef attempt) = 0;
   // The attempt has ended by other means: no end is reported.
   virtual void forget_attempt(AttemptRef attempt) = 0;
   // The last byte has been written: the job may run.
--- a/src/routing/request_table.cpp
+++ b/src/routing/request_table.cpp
@@ -16,6 +16,13 @@
   return std::nullopt;
 }
 
+bool OpenRequest::has_earlier_attempt_that_may_report(int attempt) const {
+  const std::string& worker = attempts[attempt].worker;
+  return std::any_of(
+      attempts.begin(), attempts.begin() + attempt,
+      [&worker](const Attempt& earlier) { return earlier.may_report && earlier.worker == worker; });
+}
+
 bool OpenRequest::cannot_be_resent() const {
   return payload && payload->upload && !payload->upload->replayable();
 }
--- a/src/routing/request_table.h
+++ b/src/routing/request_table.h
@@ -23,6 +23,7 @@
   std::string worker;
   bool open = true;           // its end has not been reported yet
   bool may_have_run = false;  // by what the worker said or how it ended
+  bool may_report = true;     // a job event of it may come, also after its end
 };
 
 struct OpenRequest {
@@ -41,6 +42,8 @@
   bool has_open_attempt() const;
   // The last open attempt at `worker`, which has one attempt of a request at a time.
   std::optional<int> open_attempt_at(const std::string& worker) const;
+  // Whether a job event of the worker may be of an attempt before this one.
+  bool has_earlier_attempt_that_may_report(int attempt) const;
   // Part of the upload is sent and no longer buffered: there can be no further attempt.
   bool cannot_be_resent() const;
   // The upload passes through and its end has not been passed on yet.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -84,6 +84,10 @@
   });
 }
 
+void Router::attempt_stopped(AttemptRef ref) {
+  events_.post([this, ref] { end_attempt(ref, Outcome::Cancelled, {}, {}, EndSource::Worker); });
+}
+
 void Router::progress(Progress event) {
   events_.post([this, event = std::move(event)]() mutable { on_job_event(std::move(event)); });
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -81,6 +81,8 @@
   void client_gone(RequestRef request);
   void attempt_ended(AttemptRef attempt, scheduling::Outcome outcome,
                      const scheduling::LoadReport& report, Reply reply = {});
+  // The worker has confirmed the cancellation of an attempt: it does not run it any more.
+  void attempt_stopped(AttemptRef attempt);
   void progress(Progress event);
   // A reply that passes through broke off at its worker after its head.
   void reply_broken(const std::string& worker, std::size_t job_class);
@@ -146,8 +148,11 @@
   bool may_send(const OpenRequest& request) const;
   void cancel(const scheduling::Action& action);
   void on_job_event(Progress event);
-  // Whose word the end of an attempt is.
-  enum class EndSource { Connection, JobEvent };
+  // Who reports the end of an attempt.
+  enum class EndSource { Connection, Worker };
+  void on_job_end(AttemptRef ref, const OpenRequest& request, Progress event);
+  // Whether the event may be of an earlier attempt while this one runs.
+  bool is_ambiguous_end(const Progress& event, const OpenRequest& request, AttemptRef ref) const;
   void end_attempt(AttemptRef ref, scheduling::Outcome outcome,
                    const scheduling::LoadReport& report, Reply reply,
                    EndSource source = EndSource::Connection);
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -30,7 +30,7 @@
   OpenRequest& request = *table_.find(*ref);
   int attempt = static_cast<int>(request.attempts.size());
   bool sent = may_send(request);
-  request.attempts.push_back({.worker = worker, .open = sent});
+  request.attempts.push_back({.worker = worker, .open = sent, .may_report = sent});
   if (sent) {
     trace_.sent(action.id, attempt, worker);
     count_attempts(worker, 1);
@@ -49,8 +49,13 @@
 // The attempt ends later, once the worker has been told.
 void Router::cancel(const Action& action) {
   std::optional<RequestRef> ref = table_.find_id(action.id);
-  if (ref && table_.find(*ref)->is_open(action.attempt))
+  if (!ref || !table_.find(*ref)->is_open(action.attempt))
+    return;
+  if (action.awaits_confirmation) {
+    ports_.workers.cancel_and_confirm({*ref, action.attempt});
+  } else {
     ports_.workers.cancel({*ref, action.attempt});
+  }
 }
 
 void Router::on_job_event(Progress event) {
@@ -66,11 +71,8 @@
   }
   if (!attempt)
     return;
-  if (ends_job) {
-    ports_.workers.forget_attempt({*ref, *attempt});
-    return end_attempt({*ref, *attempt}, event.outcome, event.report,
-                       {std::move(event.result), {}, {}, {}}, EndSource::JobEvent);
-  }
+  if (ends_job)
+    return on_job_end({*ref, *attempt}, request, std::move(event));
   request.attempts[*attempt].may_have_run = true;
   if (event.started)
     trace_.started(event.id, *attempt, event.worker);
@@ -81,6 +83,28 @@
   });
 }
 
+void Router::on_job_end(AttemptRef ref, const OpenRequest& request, Progress event) {
+  if (!is_ambiguous_end(event, request, ref)) {
+    ports_.workers.forget_attempt(ref);
+    return end_attempt(ref, event.outcome, event.report, {std::move(event.result), {}, {}, {}},
+                       EndSource::Worker);
+  }
+  if (request.cannot_be_resent())
+    return;  // no other attempt could follow, and this one may still succeed
+  run_scheduler([&](Scheduler& scheduler, Actions& actions) {
+    scheduler.on_ambiguous_end(clock_.now(), request.id, ref.attempt, actions);
+  });
+}
+
+// An event names no attempt, and a worker repeats one until it is answered. A success serves the
+// request, whichever attempt it is of; any other end may be of an earlier attempt at the worker
+// while the latest one runs. One that is not fully sent does not run.
+bool Router::is_ambiguous_end(const Progress& event, const OpenRequest& request,
+                              AttemptRef ref) const {
+  return event.outcome != Outcome::Success && !request.answered &&
+         request.has_earlier_attempt_that_may_report(ref.attempt) && ports_.workers.fully_sent(ref);
+}
+
 void Router::end_attempt(AttemptRef ref, Outcome outcome, const LoadReport& report, Reply reply,
                          EndSource source) {
   OpenRequest* request = table_.find(ref.request);
@@ -93,6 +117,7 @@
   Attempt& attempt = request->attempts[ref.attempt];
   attempt.open = false;
   attempt.may_have_run |= !proves_not_run(outcome);
+  attempt.may_report = source == EndSource::Worker || !proves_not_run(outcome);
   count_attempts(attempt.worker, -1);
   trace_.ended(request->id, ref.attempt, attempt.worker, outcome);
   if (serves) {
@@ -107,7 +132,7 @@
                       .worker = worker,
                       .outcome = outcome,
                       .report = report,
-                      .reported_by_worker = source == EndSource::JobEvent});
+                      .reported_by_worker = source == EndSource::Worker});
   close_if_answered(ref.request);
 }
 
--- a/src/scheduling/action_sink.h
+++ b/src/scheduling/action_sink.h
@@ -24,6 +24,10 @@
   void cancel(RequestId id, int attempt) {
     out_->push_back({.kind = ActionKind::Cancel, .id = id, .attempt = attempt});
   }
+  void cancel_and_confirm(RequestId id, int attempt) {
+    out_->push_back(
+        {.kind = ActionKind::Cancel, .id = id, .attempt = attempt, .awaits_confirmation = true});
+  }
   void check_health(std::string_view worker) {
     out_->push_back({.kind = ActionKind::HealthCheck, .worker = worker});
   }
--- a/src/scheduling/attempt_monitor.cpp
+++ b/src/scheduling/attempt_monitor.cpp
@@ -59,6 +59,13 @@
   }
 }
 
+void AttemptMonitor::on_ambiguous_end(Time now, RequestId id, int attempt) {
+  const auto it = requests_.find(id);
+  const Attempt* found = it != requests_.end() ? it->second.find(attempt) : nullptr;
+  if (found && found->open)
+    lifecycle_.cancel_for_retry(it->second, attempt, now);
+}
+
 void AttemptMonitor::on_attempt_end(Time now, const AttemptEnd& end) {
   Worker* worker = registry_.find(end.worker);
   if (worker)
--- a/src/scheduling/attempt_monitor.h
+++ b/src/scheduling/attempt_monitor.h
@@ -44,6 +44,7 @@
 
   void on_job_event(Time now, RequestId id, int attempt, std::string_view worker,
                     JobEventKind kind);
+  void on_ambiguous_end(Time now, RequestId id, int attempt);
   void on_attempt_end(Time now, const AttemptEnd& end);
   // May end the request and invalidate `state`.
   void on_timer(RequestState& state, Time now);
--- a/src/scheduling/request_lifecycle.cpp
+++ b/src/scheduling/request_lifecycle.cpp
@@ -194,16 +194,31 @@
 }
 
 void RequestLifecycle::retry_or_answer(RequestState& state, Time now) {
-  const bool allowed = std::ranges::any_of(registry_.ready(), [&](const Worker* worker) {
-    return may_send(*worker, state, settings_, now);
-  });
-  if (allowed) {
+  if (may_retry(state, now)) {
     dispatch_or_enqueue(state, now);
   } else {
     answer(state);
   }
 }
 
+bool RequestLifecycle::may_retry(const RequestState& state, Time now) const {
+  return std::ranges::any_of(registry_.ready(), [&](const Worker* worker) {
+    return may_send(*worker, state, settings_, now);
+  });
+}
+
+void RequestLifecycle::cancel_for_retry(const RequestState& state, int attempt, Time now) {
+  if (!settings_.cancellation_allowed)
+    return;
+  RequestState cancelled = state;
+  Attempt& ended = *cancelled.find(attempt);
+  ended.open = false;
+  ended.outcome = Outcome::Cancelled;
+  ended.reported_by_worker = true;
+  if (may_retry(cancelled, now))
+    actions_.cancel_and_confirm(state.request.id, attempt);
+}
+
 void RequestLifecycle::answer(RequestState& state) {
   finish(state, may_reject(state) ? ActionKind::Reject : ActionKind::Fail);
 }
--- a/src/scheduling/request_lifecycle.h
+++ b/src/scheduling/request_lifecycle.h
@@ -48,6 +48,9 @@
   // Nothing of it is open any more and the client still waits: tries again where the idempotency
   // rules allow, else answers.
   void retry_or_answer(RequestState& state, Time now);
+  // An end is reported that may be of this open attempt. Cancels the attempt if another one could
+  // follow; else it goes on, as it may still succeed.
+  void cancel_for_retry(const RequestState& state, int attempt, Time now);
   void send(RequestState& state, Worker& worker, Time now);
 
   // Room appeared somewhere: dispatches the first pending requests.
@@ -71,6 +74,8 @@
   void cancel_attempts(const RequestState& state, CancelScope scope);
 
  private:
+  // Whether the idempotency rules let any worker have another attempt.
+  bool may_retry(const RequestState& state, Time now) const;
   // Runs the pre-dispatch checks; false if the request is still to be dispatched.
   bool check(RequestState& state, Time now);
   // Chooses a worker and sends; false if none can start the request soon.
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -53,6 +53,9 @@
                     JobEventKind kind) {
     monitor_.on_job_event(now, id, attempt, worker, kind);
   }
+  void on_ambiguous_end(Time now, RequestId id, int attempt) {
+    monitor_.on_ambiguous_end(now, id, attempt);
+  }
   void on_attempt_end(Time now, const AttemptEnd& end) { monitor_.on_attempt_end(now, end); }
   void on_health_check_result(Time now, std::string_view id, Outcome outcome,
                               const LoadReport& report);
@@ -257,6 +260,11 @@
   parts_->on_job_event(now, id, attempt, worker, kind);
 }
 
+void Scheduler::on_ambiguous_end(Time now, RequestId id, int attempt, Actions& out) {
+  parts_->begin_event(now, out);
+  parts_->on_ambiguous_end(now, id, attempt);
+}
+
 void Scheduler::on_attempt_end(Time now, const AttemptEnd& end, Actions& out) {
   parts_->begin_event(now, out);
   parts_->on_attempt_end(now, end);
--- a/tests/loopback/request_race.h
+++ b/tests/loopback/request_race.h
@@ -179,9 +179,13 @@
     std::string id = message.method == "DELETE" ? message.target.substr(6)
                                                 : std::string(message.header("X-Correlation-Id"));
     if (message.method == "DELETE") {
-      if (open_attempt == id)
+      ++cancellations;
+      if (cancellation_status == 204 && open_attempt == id)
         open_attempt.clear();
-      return line.socket.send("HTTP/1.1 204 No Content\r\n\r\n");
+      if (cancellation_status == kNoAnswer)
+        return;
+      return line.socket.send("HTTP/1.1 " + std::to_string(cancellation_status) +
+                              " Answer\r\nContent-Length: 0\r\n\r\n");
     }
     line.id = id;
     ++attempts_begun;
@@ -220,6 +224,9 @@
   int revision = 5;
   std::string open_attempt;  // at the worker: the request whose attempt has neither ended nor been
                              // cancelled
+  static constexpr int kNoAnswer = 0;
+  int cancellation_status = 204;  // of the worker's answers
+  int cancellations = 0;          // that it received
   bool worker_succeeds = false;
   bool client_left = false;
   bool worker_closed = false;
