--- /dev/null
+++ b/tests/loopback/unread_cancellation_test.cpp
@@ -0,0 +1,128 @@
+// A worker that has not read a cancellation yet still runs the job.
+#include <array>
+#include <deque>
+
+#include "tests/loopback/loopback.h"
+
+using namespace dispatcher;
+using testing::Listener;
+using testing::PeerSocket;
+
+namespace {
+
+constexpr std::size_t kNoWorker = 2;
+
+// The program, a client and two workers, "s-a" and "s-b", which do not read cancellations.
+struct UnreadCancellation final : testing::Loopback {
+  struct WorkerConnection {
+    std::size_t worker = 0;
+    PeerSocket socket;
+    protocol::Parser parser{protocol::Parser::Kind::Request};
+  };
+
+  UnreadCancellation() : Loopback(15) {
+    Json::Value config = example();
+    Json::Value& targets = config["known"]["targets"];
+    targets[1] = targets[0];
+    targets[1]["uid"] = "s-b";
+    for (std::size_t i = 0; i < workers.size(); ++i)
+      targets[static_cast<int>(i)]["endpoint"] = workers[i].address;
+    start(config);
+    connect(client);
+  }
+
+  bool serve() override {
+    bool active = false;
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+      for (int fd; (fd = workers[i].accept()) >= 0; active = true) {
+        WorkerConnection& added = connections.emplace_back();
+        added.worker = i;
+        added.socket.fd = fd;
+      }
+    }
+    for (WorkerConnection& connection : connections) {
+      connection.parser.feed(connection.socket.receive());
+      while (auto message = connection.parser.next()) {
+        active = true;
+        if (message->method == "POST")
+          accept(connection);
+        else
+          ++unread_cancellations;
+      }
+    }
+    return active;
+  }
+  void accept(WorkerConnection& connection) {
+    duplicate_attempts += runs[connection.worker] ? 1 : 0;
+    runs[connection.worker] = true;
+    attempts.push_back(connection.worker);
+    connection.socket.send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+  }
+  // Until `count` attempts have reached the workers, at most `ms`.
+  void wait_for_attempts(std::size_t count, double ms) {
+    for (transport::Time until = clock.at + transport::Duration(ms);
+         attempts.size() < count && clock.at < until;) {
+      clock.at += transport::Duration(1);
+      settle();
+    }
+  }
+  std::size_t worker_of_attempt(std::size_t attempt) const {
+    return attempt < attempts.size() ? attempts[attempt] : kNoWorker;
+  }
+  void connect(PeerSocket& peer) const {
+    peer.fd = socket(AF_INET, SOCK_STREAM, 0);
+    std::size_t colon = listen_at.find(':');
+    sockaddr_in to = testing::address_of(host, std::stoi(listen_at.substr(colon + 1)));
+    REQUIRE(::connect(peer.fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+  }
+  void send_request() {
+    client.send(
+        "POST /api HTTP/1.1\r\nX-Correlation-Id: 00000000000000c1\r\n"
+        "X-Service-Class: group-order\r\nX-Account: lanting, bento\r\nX-Time-Left-Ms: 5000\r\n"
+        "X-Weight-Hint: 200000\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\nab");
+    wait_for_attempts(1, 100);
+  }
+  void report(std::size_t worker, const std::string& state) {
+    std::string body = R"({"id":"00000000000000c1","from":"s-)" +
+                       std::string(worker == 0 ? "a" : "b") + R"(","state":")" + state +
+                       R"(","result":"made"})";
+    connect(callbacks.emplace_back());
+    callbacks.back().send("POST /_jobs/news HTTP/1.1\r\nContent-Length: " +
+                          std::to_string(body.size()) + "\r\n\r\n" + body);
+    if (state == "lost" || state == "done")
+      runs[worker] = false;
+    settle();
+  }
+
+  std::array<Listener, 2> workers{Listener{host}, Listener{host}};
+  std::array<bool, 2> runs{};  // the job has neither ended nor has its cancellation been read
+  std::vector<std::size_t> attempts;  // their workers
+  std::deque<WorkerConnection> connections;
+  std::deque<PeerSocket> callbacks;
+  PeerSocket client;
+  int duplicate_attempts = 0;
+  int unread_cancellations = 0;
+};
+
+}  // namespace
+
+// Guards against a second attempt at the worker of a cancelled hedge, which may not have read the
+// cancellation when the other attempt is lost.
+TEST_CASE("no attempt follows at a worker with an unread cancellation", "[cancel]") {
+  UnreadCancellation program;
+  program.send_request();
+  program.wait_for_attempts(2, 1000);
+  std::size_t first = program.worker_of_attempt(0);
+  std::size_t hedge = program.worker_of_attempt(1);
+  REQUIRE(first != kNoWorker);
+  REQUIRE(hedge == 1 - first);
+  program.report(first, "started");
+  REQUIRE(program.unread_cancellations == 1);
+  program.report(first, "lost");
+  program.wait_for_attempts(3, 3000);
+  INFO(program.log_text);
+  CHECK(program.duplicate_attempts == 0);
+  CHECK(program.worker_of_attempt(2) == first);  // which has said that it runs nothing
+  program.report(first, "done");
+  CHECK(program.client.receive().starts_with("HTTP/1.1 200"));
+}
