Trace how far the submit had come when an attempt is cancelled

Cause: the trace says that an attempt was cancelled, not how.

Change: a line 'cancelling ID ATTEMPT WORKER not_sent|unanswered|accepted' before the cancellation.

--- a/src/routing/request_trace.cpp
+++ b/src/routing/request_trace.cpp
@@ -12,12 +12,22 @@
     "success",        "failure",          "rejected",  "timed_out",
     "connect_failed", "connection_reset", "cancelled", "not_sent"};
 
+// Likewise, of SubmitProgress.
+constexpr std::array<const char*, 3> kProgressWords{"not_sent", "unanswered", "accepted"};
+
 std::string with_outcome(const std::string& worker, scheduling::Outcome outcome) {
   return worker + " " + kOutcomeWords.at(static_cast<std::size_t>(outcome));
 }
 
 }  // namespace
 
+void RequestTrace::cancelling(scheduling::RequestId id, int attempt, const std::string& worker,
+                              SubmitProgress progress) const {
+  if (sink_)
+    write("cancelling", id, attempt,
+          worker + " " + kProgressWords.at(static_cast<std::size_t>(progress)));
+}
+
 void RequestTrace::ended(scheduling::RequestId id, int attempt, const std::string& worker,
                          scheduling::Outcome outcome) const {
   if (sink_)
--- a/src/routing/request_trace.h
+++ b/src/routing/request_trace.h
@@ -11,6 +11,9 @@
 
 namespace dispatcher::routing {
 
+// How far the submit of an attempt has come.
+enum class SubmitProgress { NotSent, Unanswered, Accepted };
+
 class RequestTrace {
  public:
   using Sink = std::function<void(const std::string&)>;
@@ -30,6 +33,9 @@
   void started(scheduling::RequestId id, int attempt, const std::string& worker) const {
     write("started", id, attempt, worker);
   }
+  // The attempt is about to be cancelled; what that takes depends on `progress`.
+  void cancelling(scheduling::RequestId id, int attempt, const std::string& worker,
+                  SubmitProgress progress) const;
   void ended(scheduling::RequestId id, int attempt, const std::string& worker,
              scheduling::Outcome outcome) const;
   // A worker's job event that ends a job or names no open attempt (kNoAttempt); `end`: as it
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -147,6 +147,7 @@
   void send(const scheduling::Action& action);
   bool may_send(const OpenRequest& request) const;
   void cancel(const scheduling::Action& action);
+  SubmitProgress submit_progress(AttemptRef ref) const;
   void on_job_event(Progress event);
   // Who reports the end of an attempt.
   enum class EndSource { Connection, Worker };
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -48,16 +48,25 @@
 
 // The attempt ends later, once the worker has been told.
 void Router::cancel(const Action& action) {
-  std::optional<RequestRef> ref = table_.find_id(action.id);
-  if (!ref || !table_.find(*ref)->is_open(action.attempt))
+  std::optional<RequestRef> request = table_.find_id(action.id);
+  if (!request || !table_.find(*request)->is_open(action.attempt))
     return;
+  AttemptRef ref{*request, action.attempt};
+  trace_.cancelling(action.id, action.attempt, table_.find(*request)->attempts[ref.attempt].worker,
+                    submit_progress(ref));
   if (action.awaits_confirmation) {
-    ports_.workers.cancel_and_confirm({*ref, action.attempt});
+    ports_.workers.cancel_and_confirm(ref);
   } else {
-    ports_.workers.cancel({*ref, action.attempt});
+    ports_.workers.cancel(ref);
   }
 }
 
+SubmitProgress Router::submit_progress(AttemptRef ref) const {
+  if (!ports_.workers.fully_sent(ref))
+    return SubmitProgress::NotSent;
+  return ports_.workers.is_accepted(ref) ? SubmitProgress::Accepted : SubmitProgress::Unanswered;
+}
+
 void Router::on_job_event(Progress event) {
   std::optional<RequestRef> ref = table_.find_id(event.id);
   if (!ref)
