--- a/src/routing/request_trace.cpp
+++ b/src/routing/request_trace.cpp
@@ -23,9 +23,10 @@
 
 void RequestTrace::cancelling(scheduling::RequestId id, int attempt, const std::string& worker,
                               SubmitProgress progress) const {
-  if (sink_)
+  if (sink_) {
     write("cancelling", id, attempt,
           worker + " " + kProgressWords.at(static_cast<std::size_t>(progress)));
+  }
 }
 
 void RequestTrace::ended(scheduling::RequestId id, int attempt, const std::string& worker,
