--- a/review/1/run.py
+++ b/review/1/run.py
@@ -92,7 +92,7 @@
     finally:
         for task in tasks:
             task.cancel()
-        platform.end()
+        await platform.end()
     forwarded = set().union(*(worker.attempts for worker in workers))
     after = [r for r in requests if r.sent_ms > term_ms + EXCUSED_MS]
     lost = [r for r in after if r.status in (None, "closed") and r.id in forwarded and
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -159,8 +159,8 @@
 
 class Worker(HttpServer):
     """An order worker. A job runs for the time that its body names, {"run_ms": 300}; it starts at
-    once. Repeats of a key get the first run's result. Calls back at `dispatcher` on one kept
-    connection per job, and tries each call up to ten times, 0.1 s apart, until it gets 200 or 204.
+    once. Repeats of a key get the first run's result. Calls back at `dispatcher` on a new
+    connection each time, and tries each call up to ten times, 0.1 s apart, until it gets 200 or 204.
     """
 
     def __init__(self, uid, port, dispatcher, record, slots=16):
@@ -172,7 +172,7 @@
         self.jobs = {}
         self.runs = []  # (id, key)
         self.attempts = set()
-        self.by_key = {}
+        self.acknowledged = {}  # id -> when `done` was answered with 200 or 204
 
     def load(self):
         return {"eps": 0.0, "queue": 0, "x0": max(0, self.slots - len(self.jobs))}
@@ -231,6 +231,8 @@
             self.record.add("call", worker=self.uid, id=job_id, state=news["state"],
                             number=number, answer=status)
             if status in ("200", "204"):
+                if news["state"] == "done":
+                    self.acknowledged[job_id] = self.record.now()
                 return
             await asyncio.sleep(0.1)
 
@@ -370,13 +372,14 @@
         except ProcessLookupError:
             pass
 
-    def end(self):
+    async def end(self):
         for process in self.processes:
             if process.returncode is None:
                 try:
                     process.kill()
                 except ProcessLookupError:
                     pass
+            await process.wait()
 
     def logs(self):
         for number in range(len(self.processes)):
