Review stand-ins: ports below the system's own range, and logs in every record

Cause: a port taken from the range of outgoing connections can be in use again when it is needed.

Change: free_ports() picks ports below that range; the log of every process goes to the record.

--- a/review/1/run.py
+++ b/review/1/run.py
@@ -88,7 +88,6 @@
         kill_ms = record.now()
         stop.set()
         await asyncio.sleep(0.3)
-        platform.logs()
     finally:
         for task in tasks:
             task.cancel()
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -88,7 +88,6 @@
             await ended(platform, old)
         stop.set()
         await asyncio.wait(tasks, timeout=2)
-        platform.logs()
     finally:
         for task in tasks:
             task.cancel()
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -33,20 +33,19 @@
         self.file.flush()
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
-
-
 def free_ports(count):
-    probes = [socket.socket() for _ in range(count)]
-    for probe in probes:
-        probe.bind((HOST, 0))
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
+    """Free ports below the range from which the system takes the ports of outgoing connections."""
+    found = []
+    while len(found) < count:
+        port = random.randint(12000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in found:
+            found.append(port)
+    return found
 
 
 async def read_message(reader):
@@ -380,6 +379,7 @@
                 except ProcessLookupError:
                     pass
             await process.wait()
+        self.logs()
 
     def logs(self):
         for number in range(len(self.processes)):
