--- a/review/1/run.py
+++ b/review/1/run.py
@@ -48,8 +48,8 @@
     tasks = []
     try:
         process = await platform.start(ops_port)
-        if not await s.wait_for(port, "/ready", 10):
-            raise s.CannotRun("the dispatcher did not become ready")
+        if not await s.wait_for(port, "/ready", 5):
+            raise s.NotReady("the dispatcher did not become ready")
         requests, group_requests = [], []
         stop, stop_groups = asyncio.Event(), asyncio.Event()
 
