Review stand-ins: no module newer than Python 3.9, and an orderly end on SIGTERM

Cause: a script that was told to end left its dispatchers running, and tomllib needs Python 3.11.

Change: SIGTERM ends the script through its own clean-up; the deploy file's line is read as text.

--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -9,12 +9,12 @@
 import json
 import os
 import random
+import re
 import signal
 import socket
 import sys
 import tempfile
 import time
-import tomllib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 HOST = "127.0.0.1"
@@ -330,8 +330,8 @@
         self.tmp = os.path.join(folder, "tmp")
         os.mkdir(self.tmp)
         self.discovery = f"{HOST}:{discovery_port}"
-        with open(os.path.join(ROOT, "deploy/balancer.toml"), "rb") as file:
-            self.command = tomllib.load(file)["run"]
+        with open(os.path.join(ROOT, "deploy/balancer.toml")) as file:
+            self.command = re.search(r'^run = "(.*)"$', file.read(), re.MULTILINE).group(1)
         self.processes = []
         self.seed = random.getrandbits(64)
         self.write_config(settings)
@@ -459,6 +459,8 @@
 def main(folder, play):
     """Runs play(record, temporary folder, trouble), which returns the list of broken rules, and
     exits with 1 if there are any, 0 if there are none, 2 if the case could not run."""
+    # So that the processes are ended when the script is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
