Count only the classes in force for the graceful shutdown, and reload other limits

Cause: a dropped class keeps its index and settings for open requests, and App::drain() took the longest deadline of all classes: it planned 3.4 s where SIGKILL came after 1.9 s. It also read the settings anew in each turn, so a reload after SIGTERM could lengthen the shutdown.

Evidence: no log line named the planned time. With it in `stop: draining`, the unchanged code logs 3400 ms in the case and in its control alike. So the plan was wrong, not the closing of connections or the loop.

Change: longest_deadline() counts the classes that the file in force names; the drain timeout is taken at SIGTERM, and a later reload can only shorten it. The same cause on related paths: a dropped tenant stayed known and escaped all quotas; MaxOpen was read at the start only; a shorter ConnIdleMs left idle connections open for the old time; a hot restart took slow start, overload window and retry budget window from the settings of the start.

--- a/src/hot_restart/incoming_process.cpp
+++ b/src/hot_restart/incoming_process.cpp
@@ -150,17 +150,18 @@
 // much of the retry budget it has used. Each counts for one window, so the limits last that long.
 void IncomingProcess::limit_worker_load() {
   ServingProgram& program = context_.program;
+  const scheduling::Settings& settings = program.settings();
   transport::Time now = context_.clock.now();
   program.apply_endpoint_update(
-      program.cordon_list().exclude_warming_up(now - options_.slow_start));
-  if (options_.retry_budget_window.count() > 0) {
+      program.cordon_list().exclude_warming_up(now - settings.slow_start_duration));
+  if (settings.retry_budget_window) {
     program.limit_retry_budget(RetryBudgetLimit::RatioOnly);
-    context_.deadlines.add(now + options_.retry_budget_window, [this] {
+    context_.deadlines.add(now + *settings.retry_budget_window, [this] {
       if (!callbacks_.has_transferred_ownership())
         context_.program.limit_retry_budget(RetryBudgetLimit::Unlimited);
     });
   }
-  context_.deadlines.add(now + options_.overload_window, [this] {
+  context_.deadlines.add(now + settings.overload_window, [this] {
     if (callbacks_.has_transferred_ownership())
       return;
     ServingProgram& serving = context_.program;
--- a/src/hot_restart/outgoing_process.cpp
+++ b/src/hot_restart/outgoing_process.cpp
@@ -91,11 +91,10 @@
   context_.network.set_accepting(false);
   context_.network.set_limits(options_.shared_limits(options_.connection_limits.accepted));
   send_ownership_transfer();
-  if (options_.retry_budget_window.count() > 0)
-    program.limit_retry_budget(RetryBudgetLimit::NoRetries);
+  program.limit_retry_budget(RetryBudgetLimit::NoRetries);
   program.on_drain_timeout([this] { release_open_requests(); });
-  program.apply_endpoint_update(
-      program.cordon_list().exclude_warming_up(context_.clock.now() - options_.slow_start));
+  program.apply_endpoint_update(program.cordon_list().exclude_warming_up(
+      context_.clock.now() - program.settings().slow_start_duration));
   context_.log.line("hot-restart", "ownership transferred; " +
                                        std::to_string(program.router().open_requests() +
                                                       program.adopted_requests().size()) +
@@ -183,8 +182,7 @@
   shared_events_.forget_released();
   program.client_server().set_connection_handover(nullptr);
   program.on_drain_timeout(nullptr);
-  if (options_.retry_budget_window.count() > 0)
-    program.limit_retry_budget(RetryBudgetLimit::Unlimited);
+  program.limit_retry_budget(RetryBudgetLimit::Unlimited);
   if (program.fleet_socket())
     program.fleet_socket()->set_active(true);
   program.apply_endpoint_update(program.cordon_list().exclude_warming_up(std::nullopt));
--- a/src/hot_restart/process_context.h
+++ b/src/hot_restart/process_context.h
@@ -25,9 +25,6 @@
   std::string socket_path;  // of the local socket through which the two processes find each other
   DispatcherIdentity identity;
   transport::GioNetwork::Limits connection_limits;  // while there is only one process
-  transport::Duration overload_window{0};
-  transport::Duration slow_start{0};
-  transport::Duration retry_budget_window{0};  // 0: no retry budget
   // Starts communication with the other dispatchers.
   std::function<void(InheritedFleetState)> start_fleet_socket;
   // Receives a line for each message between the processes. May be null.
--- a/src/hot_restart/serving_program.h
+++ b/src/hot_restart/serving_program.h
@@ -30,6 +30,8 @@
   virtual AdoptedRequests& adopted_requests() = 0;
   virtual fleet::FleetSocket* fleet_socket() = 0;  // null: no communication with other dispatchers
   virtual const protocol::IdentifierTables& identifiers() const = 0;
+  // Those in force; a reload replaces them.
+  virtual const scheduling::Settings& settings() const = 0;
 
   // Takes over the clock offset of an outgoing process, and its endpoint list unless the list of
   // this process is newer.
--- a/src/http/idle_connections.cpp
+++ b/src/http/idle_connections.cpp
@@ -20,12 +20,28 @@
     remove(oldest);
     network_.close(oldest);
   }
-  auto expiry = deadlines_.add(clock_.now() + lifetime, [this, connection] {
+  transport::Time now = clock_.now();
+  idle.push_back({connection, now, now + lifetime, close_at(now + lifetime, connection)});
+  worker_of_[connection] = worker;
+}
+
+transport::Deadlines::Handle IdleConnections::close_at(transport::Time time, SlotRef connection) {
+  return deadlines_.add(time, [this, connection] {
     remove(connection);
     network_.close(connection);
   });
-  idle.push_back({connection, expiry});
-  worker_of_[connection] = worker;
+}
+
+void IdleConnections::limit_lifetime(transport::Duration lifetime) {
+  for (auto& [worker, connections] : by_worker_) {
+    for (Idle& idle : connections) {
+      if (idle.expires_at <= idle.since + lifetime)
+        continue;
+      idle.expires_at = idle.since + lifetime;
+      deadlines_.disarm(idle.expiry);
+      idle.expiry = close_at(idle.expires_at, idle.connection);
+    }
+  }
 }
 
 std::optional<SlotRef> IdleConnections::take(const std::string& worker) {
--- a/src/http/idle_connections.h
+++ b/src/http/idle_connections.h
@@ -22,6 +22,8 @@
   // Keeps the connection for at most `lifetime`. Closes the worker's oldest idle connection if it
   // has too many.
   void add(const std::string& worker, transport::SlotRef connection, transport::Duration lifetime);
+  // Shortens the lifetime of the connections that are idle now.
+  void limit_lifetime(transport::Duration lifetime);
   // Removes and returns the worker's most recently used connection. Nullopt if it has none.
   std::optional<transport::SlotRef> take(const std::string& worker);
   // Call when the connection has been closed or must not be reused. Has no effect on a connection
@@ -34,8 +36,13 @@
  private:
   struct Idle {
     transport::SlotRef connection;
+    transport::Time since;
+    transport::Time expires_at;
     transport::Deadlines::Handle expiry;
   };
+
+  transport::Deadlines::Handle close_at(transport::Time time, transport::SlotRef connection);
+
   transport::Network& network_;
   transport::Deadlines& deadlines_;
   const transport::Clock& clock_;
--- a/src/http/worker_client.h
+++ b/src/http/worker_client.h
@@ -31,7 +31,10 @@
         idle_(platform.network, platform.deadlines, platform.clock) {}
 
   void attach(routing::Router& router) { router_ = &router; }
-  void set_call_options(CallOptions options) { options_ = options; }
+  void set_call_options(CallOptions options) {
+    options_ = options;
+    idle_.limit_lifetime(options.idle_lifetime);
+  }
   // Updates the workers' addresses. Call before the scheduler receives the update.
   void update(const protocol::EndpointUpdate& update);
   // Call after the scheduler has received the update. Attempts that are still waiting for a
--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -1,6 +1,7 @@
 #include "program/app.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dispatcher::program {
 
@@ -87,11 +88,9 @@
   return names;
 }
 
-Duration longest_deadline(const scheduling::Settings& settings) {
-  Duration longest{0};
-  for (const auto& job_class : settings.classes)
-    longest = std::max(longest, job_class.deadline);
-  return longest;
+// How long after SIGTERM requests that are still open are answered.
+Duration drain_timeout(const Config& config) {
+  return std::min(longest_deadline(config), kMaxCountedDeadline) + kAnswerMargin;
 }
 
 }  // namespace
@@ -282,9 +281,15 @@
     limit_retry_budget(retry_budget_limit_);
   config_.identifier_tables = std::move(next.identifier_tables);
   config_.connection_idle_timeout = next.connection_idle_timeout;
+  config_.max_open_requests = next.max_open_requests;
   config_.file = std::move(next.file);
-  if (settings_changed)
+  if (settings_changed) {
     workers_.set_call_options(worker_call_options(config_));
+    router_.set_max_requests(divide_descriptors(config_).open_request_limit);
+  }
+  // SIGKILL comes when the settings at SIGTERM say so: later ones can only shorten the time.
+  if (terminated_at_)
+    drain_timeout_ = std::min(drain_timeout_, drain_timeout(config_));
   ++metrics_.cfg_accepted;
   config_.discovery = next.discovery;
   if (discovery_moved)
@@ -324,7 +329,9 @@
   if (terminated_at_)
     return;
   terminated_at_ = clock_.now();
-  log_.line("stop", "draining; " + std::to_string(open_requests()) + " requests are open");
+  drain_timeout_ = drain_timeout(config_);
+  log_.line("stop", "draining for at most " + std::to_string(std::lround(drain_timeout_.count())) +
+                        " ms; " + std::to_string(open_requests()) + " requests are open");
   client_server_.start_draining();
   if (fleet_socket_)
     fleet_socket_->leave();
@@ -338,20 +345,18 @@
 // shortly before SIGKILL.
 void App::drain() {
   Duration elapsed = clock_.now() - *terminated_at_;
-  Duration total =
-      std::min(longest_deadline(config_.settings), kMaxCountedDeadline) + kAnswerMargin;
-  if (elapsed >= total)
+  if (elapsed >= drain_timeout_)
     end_open_requests();
   // While connections are being released to the process that has taken over, none is closed here.
   if (!client_server_.hands_over_connections() &&
-      elapsed >= std::max(kNewConnectionsPeriod, kKeepConnectionsFraction * total))
+      elapsed >= std::max(kNewConnectionsPeriod, kKeepConnectionsFraction * drain_timeout_))
     client_server_.close_connections();
   if (has_open_work(elapsed)) {
     idle_since_.reset();
   } else if (!idle_since_) {
     idle_since_ = clock_.now();
   }
-  finished_ = elapsed >= total + kLastBytesPeriod ||
+  finished_ = elapsed >= drain_timeout_ + kLastBytesPeriod ||
               (idle_since_ && clock_.now() - *idle_since_ >= kLastBytesPeriod);
   if (!finished_)
     deadlines_.add(clock_.now() + kDrainInterval, [this] { drain(); });
--- a/src/program/app.h
+++ b/src/program/app.h
@@ -72,6 +72,7 @@
   const protocol::IdentifierTables& identifiers() const override {
     return config_.identifier_tables;
   }
+  const scheduling::Settings& settings() const override { return config_.settings; }
   void inherit_endpoints(scheduling::Duration wall_to_steady,
                          const protocol::EndpointUpdate& list) override;
   bool can_serve() const override {
@@ -116,6 +117,7 @@
   hot_restart::AdoptedRequests adopted_requests_;
   FleetSocket* fleet_socket_ = nullptr;
   std::optional<transport::Time> terminated_at_;
+  scheduling::Duration drain_timeout_{0};      // after terminated_at_
   std::optional<transport::Time> idle_since_;  // since when there has been no open work
   bool finished_ = false;
   bool serving_ = true;
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -305,10 +305,15 @@
   std::vector<double>& quotas = next.settings.tenant_quotas;
   std::vector<std::size_t> new_indexes =
       keep_order(current.identifier_tables.tenants, next.identifier_tables.tenants);
-  std::vector<double> kept(next.identifier_tables.tenants.size());
+  std::size_t count = next.identifier_tables.tenants.size();
+  std::vector<double> kept(count);
   for (std::size_t i = 0; i < std::min(new_indexes.size(), quotas.size()); ++i)
     kept[new_indexes[i]] = quotas[i];
   quotas = std::move(kept);
+  std::vector<bool> removed(count, true);
+  for (std::size_t index : new_indexes)
+    removed[index] = false;
+  next.identifier_tables.is_tenant_removed = std::move(removed);
 }
 
 void keep_classes(const Config& current, Config& next) {
@@ -372,6 +377,16 @@
   }
 }
 
+scheduling::Duration longest_deadline(const Config& config) {
+  scheduling::Duration longest{0};
+  const std::vector<scheduling::ClassSettings>& classes = config.settings.classes;
+  for (std::size_t i = 0; i < classes.size(); ++i) {
+    if (!config.identifier_tables.is_removed[i])
+      longest = std::max(longest, classes[i].deadline);
+  }
+  return longest;
+}
+
 void preserve_indexes(const Config& current, Config& next) {
   remap_index(next.settings.zone,
               keep_order(current.identifier_tables.zones, next.identifier_tables.zones));
--- a/src/program/config.h
+++ b/src/program/config.h
@@ -74,9 +74,13 @@
                         scheduling::Duration wall_to_steady, ReadMode mode = ReadMode::Start,
                         const Json::Value& current_file = {});
 
+// The longest deadline of the classes that the file in force names.
+scheduling::Duration longest_deadline(const Config& config);
+
 // Gives the classes, tenants, zones and kinds of `next` the indexes that they have in `current`,
-// and appends new ones: open requests and learned state refer to them by index. A class that `next`
-// no longer has keeps its index, marked as dropped.
+// and appends new ones: open requests and learned state refer to them by index. A class or tenant
+// that `next` no longer has keeps its index, marked as removed; a removed class also keeps its
+// settings, for the requests that are still open.
 void preserve_indexes(const Config& current, Config& next);
 
 }  // namespace dispatcher::program
--- a/src/program/dispatcher_process.cpp
+++ b/src/program/dispatcher_process.cpp
@@ -210,13 +210,9 @@
 }
 
 hot_restart::Options DispatcherProcess::hot_restart_options() {
-  const scheduling::Settings& settings = config_.settings;
   return {.socket_path = local_socket_path_,
           .identity = {config_.name, config_.listen},
           .connection_limits = {descriptor_limits_.accepted, descriptor_limits_.connected},
-          .overload_window = settings.overload_window,
-          .slow_start = settings.slow_start_duration,
-          .retry_budget_window = settings.retry_budget_window.value_or(transport::Duration(0)),
           .start_fleet_socket =
               [this](hot_restart::InheritedFleetState inherited) {
                 start_fleet_socket(std::move(inherited));
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -118,7 +118,8 @@
     throw MessageError("unknown X-Service-Class");
   request.job_class = *job_class;
   std::optional<std::size_t> tenant = index_of(tables.tenants, message.header("X-Account"));
-  if (!tables.tenants.empty() && !tenant)
+  bool removed = tenant && !tables.is_tenant_removed.empty() && tables.is_tenant_removed[*tenant];
+  if (!tables.tenants.empty() && (!tenant || removed))
     throw MessageError("unknown X-Account");
   request.tenant = tenant.value_or(0);
   request.timeout = parse_timeout(message.header("X-Time-Left-Ms"));
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -32,6 +32,7 @@
   std::vector<bool> needs_idempotency_key;      // by class
   std::vector<bool> is_removed;                 // by class: no longer in the settings
   std::vector<scheduling::Duration> deadlines;  // by class
+  std::vector<bool> is_tenant_removed;          // by tenant, after a reload; empty before
   settings::LoadReportColumns columns;
   // Offset from wall-clock time to the scheduler's clock. Determined once, when the program starts:
   // the same wall-clock time must always give the same result, because the scheduler takes a
--- a/src/routing/request_table.h
+++ b/src/routing/request_table.h
@@ -57,6 +57,11 @@
   explicit RequestTable(std::size_t max_requests)
       : max_requests_(max_requests), slots_(kSlotsPerRequest * max_requests) {}
 
+  void set_max_requests(std::size_t max_requests) {
+    max_requests_ = max_requests;
+    slots_.set_capacity(kSlotsPerRequest * max_requests);
+  }
+
   // Returns nullopt if the table is full.
   std::optional<RequestRef> insert(OpenRequest request);
   // Returns null if the request has been removed.
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -74,6 +74,8 @@
   void start(const std::vector<scheduling::WorkerEntry>& cached_workers);
   // Applies to future requests.
   void apply_settings(const scheduling::Settings& settings);
+  // Limit of open requests. Those that are open already stay.
+  void set_max_requests(std::size_t max_requests) { table_.set_max_requests(max_requests); }
 
   // Calls `on_admitted` with the request's reference before the scheduler decides anything, because
   // the request may be answered before this call returns.
--- a/src/transport/slots.h
+++ b/src/transport/slots.h
@@ -24,6 +24,8 @@
  public:
   explicit SlotTable(std::size_t capacity) : capacity_(capacity) {}
 
+  // Entries beyond a smaller capacity stay.
+  void set_capacity(std::size_t capacity) { capacity_ = capacity; }
   bool full() const { return used_ >= capacity_; }
   std::size_t size() const { return used_; }
 
--- a/tests/loopback/middle_process.h
+++ b/tests/loopback/middle_process.h
@@ -23,9 +23,9 @@
   // `predecessor_ids`: of requests that are open or ended at the predecessor.
   explicit MiddleProcess(const std::vector<scheduling::RequestId>& predecessor_ids = {})
       : Loopback(15), folder_(make_folder()) {
-    Json::Value config = example_config();
-    config["known"]["targets"][0]["endpoint"] = worker.address;
-    start(config);
+    config_["known"]["targets"][0]["endpoint"] = worker.address;
+    config_["known"]["targets"][0]["boot_ms"] = kWorkerStartedMs;
+    start(config_);
     start_hot_restart();
     take_over(predecessor_ids);
     connect_busy_callback();
@@ -80,6 +80,21 @@
     settle();
   }
 
+  // Reloads the configuration with another duration of the slow start.
+  void reload_slow_start(double duration_ms) {
+    config_["settings"]["Invariants"]["RampTimeMs"] = duration_ms;
+    auto empty_environment = [](const char*) {
+      return std::string();
+    };
+    app->reload(program::read_config(config_.toStyledString(), empty_environment,
+                                     transport::Duration(0), program::ReadMode::Reload,
+                                     app->current_file()));
+  }
+  void advance(double ms) {
+    clock.at += transport::Duration(ms);
+    settle();
+  }
+
   // ---- Adopted requests ----
 
   // The predecessor hands over a request whose job the worker has accepted.
@@ -119,8 +134,7 @@
     std::size_t open = app->adopted_requests().size() + app->router().open_requests();
     REQUIRE(open > 0);
     for (int step = 0; step < kMaxDrainSteps && !app->finished(); ++step) {
-      clock.at += transport::Duration(kDrainStepMs);
-      settle();
+      advance(kDrainStepMs);
       if (app->adopted_requests().size() + app->router().open_requests() < open)
         return;
     }
@@ -135,6 +149,7 @@
   PeerSocket busy_callback;               // a worker's connection that stays at this process
 
  private:
+  static constexpr double kWorkerStartedMs = 900;  // shortly before the program
   static constexpr double kDrainStepMs = 10;
   static constexpr int kMaxDrainSteps = 1000;
 
@@ -207,6 +222,7 @@
     return active;
   }
 
+  Json::Value config_ = example_config();
   std::string folder_;
   std::optional<hot_restart::HotRestart> hot_restart_;
   std::list<WorkerConnection> worker_connections_;
--- a/tests/loopback/middle_process_test.cpp
+++ b/tests/loopback/middle_process_test.cpp
@@ -164,3 +164,18 @@
     }
   }
 }
+
+// Guards against settings of the start that a reload has replaced:
+// docs/incidents/dropped-class-at-shutdown.md.
+TEST_CASE("the transfer leaves out workers by the slow start in force", "[middle]") {
+  constexpr double kOverloadWindowMs = 2000;  // for which a process that takes over leaves them out
+  for (double slow_start_ms : {100.0, 60'000.0}) {
+    MiddleProcess process;
+    process.advance(kOverloadWindowMs);
+    CHECK_FALSE(process.app->router().avoids(MiddleProcess::kWorker));
+    process.reload_slow_start(slow_start_ms);
+    process.hand_over();
+    CHECK(process.app->router().avoids(MiddleProcess::kWorker) ==
+          (slow_start_ms > kOverloadWindowMs));
+  }
+}
