Share the worker stub and the reload between the loopback tests

The new tests of reloads and of hot restarts in a row had a worker of their own each, and three files read a configuration for a reload in the same way. UniformWorker, read_config() and reload() of tests/loopback/loopback.h serve them now. No check has changed.

--- a/tests/loopback/loopback.h
+++ b/tests/loopback/loopback.h
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <fstream>
 #include <iterator>
 #include <map>
@@ -89,6 +90,50 @@
   int accept() const { return accept4(fd, nullptr, nullptr, SOCK_NONBLOCK); }
 };
 
+// A worker that answers every call in the same way.
+class UniformWorker {
+ public:
+  // `response`: status code and reason of each answer.
+  UniformWorker(const std::string& host, const std::string& response)
+      : listener_(host), response_("HTTP/1.1 " + response + "\r\nContent-Length: 0\r\n\r\n") {}
+
+  const std::string& address() const { return listener_.address; }
+  // Methods and targets of the calls so far.
+  const std::vector<std::string>& calls() const { return calls_; }
+  // Connections that the program has not closed.
+  std::ptrdiff_t open_connections() const {
+    return std::ranges::count_if(connections_, [](const Connection& connection) {
+      return !connection.socket.closed_by_program;
+    });
+  }
+  // Answers the calls that have arrived. Returns false if there was no input.
+  bool serve() {
+    bool active = false;
+    for (int fd; (fd = listener_.accept()) >= 0; active = true)
+      connections_.emplace_back().socket.fd = fd;
+    for (Connection& connection : connections_) {
+      connection.parser.feed(connection.socket.receive());
+      while (auto message = connection.parser.next()) {
+        active = true;
+        calls_.push_back(message->method + " " + message->target);
+        connection.socket.send(response_);
+      }
+    }
+    return active;
+  }
+
+ private:
+  struct Connection {
+    PeerSocket socket;
+    protocol::Parser parser{protocol::Parser::Kind::Request};
+  };
+
+  Listener listener_;
+  std::string response_;
+  std::deque<Connection> connections_;
+  std::vector<std::string> calls_;
+};
+
 // The kernel's TCP states. linux/tcp.h, which has the complete tcp_info, does not define them.
 enum {
   kSynSent = 2,
@@ -188,17 +233,28 @@
   // Lets the peers handle their input; false if there was none.
   virtual bool serve_peers() = 0;
 
+  // The environment is empty.
+  static program::Config read_config(const Json::Value& config, program::ReadMode mode,
+                                     const Json::Value& current_file = {}) {
+    auto nothing = [](const char*) {
+      return std::string();
+    };
+    return program::read_config(config.toStyledString(), nothing, transport::Duration(0), mode,
+                                current_file);
+  }
+
+  // SIGHUP with this configuration.
+  void reload(const Json::Value& config) {
+    app->reload(read_config(config, program::ReadMode::Reload, app->current_file()));
+  }
+
   void start(Json::Value config) {
     Listener unused(host);  // closed below, so that the program can listen there
     listen_address = unused.address;
     config["listen"] = listen_address;
     ::close(std::exchange(unused.fd, -1));
-    auto nothing = [](const char*) {
-      return std::string();
-    };
-    auto read = program::read_config(config.toStyledString(), nothing, transport::Duration(0),
-                                     program::ReadMode::Start);
-    app.emplace(read, features::Features(), network, deadlines, clock, log);
+    app.emplace(read_config(config, program::ReadMode::Start), features::Features(), network,
+                deadlines, clock, log);
     // Returns true so that no loop turn blocks.
     loop.set_post_io_callback([this] { return network.serve_bulk(), true; });
     network.listen(listen_address, app->acceptor());
--- a/tests/loopback/middle_process.h
+++ b/tests/loopback/middle_process.h
@@ -23,7 +23,7 @@
   // `predecessor_ids`: of requests that are open or ended at the predecessor.
   explicit MiddleProcess(const std::vector<scheduling::RequestId>& predecessor_ids = {})
       : Loopback(15), folder_(make_folder()) {
-    config_["known"]["targets"][0]["endpoint"] = worker.address;
+    config_["known"]["targets"][0]["endpoint"] = worker.address();
     config_["known"]["targets"][0]["boot_ms"] = kWorkerStartedMs;
     start(config_);
     start_hot_restart();
@@ -83,12 +83,7 @@
   // Reloads the configuration with another duration of the slow start.
   void reload_slow_start(double duration_ms) {
     config_["settings"]["Invariants"]["RampTimeMs"] = duration_ms;
-    auto empty_environment = [](const char*) {
-      return std::string();
-    };
-    app->reload(program::read_config(config_.toStyledString(), empty_environment,
-                                     transport::Duration(0), program::ReadMode::Reload,
-                                     app->current_file()));
+    reload(config_);
   }
   void advance(double ms) {
     clock.at += transport::Duration(ms);
@@ -143,21 +138,15 @@
   std::optional<LinkPeer> predecessor;
   std::optional<LinkPeer> successor;
   hot_restart::OwnershipTransfer transfer;  // as received by the successor
-  Listener worker{host};
-  std::vector<std::string> worker_calls;  // start lines
-  std::list<PeerSocket> clients;          // of the adopted requests
-  PeerSocket busy_callback;               // a worker's connection that stays at this process
+  UniformWorker worker{host, "204 No Content"};
+  std::list<PeerSocket> clients;  // of the adopted requests
+  PeerSocket busy_callback;       // a worker's connection that stays at this process
 
  private:
   static constexpr double kWorkerStartedMs = 900;  // shortly before the program
   static constexpr double kDrainStepMs = 10;
   static constexpr int kMaxDrainSteps = 1000;
 
-  struct WorkerConnection {
-    PeerSocket socket;
-    protocol::Parser parser{protocol::Parser::Kind::Request};
-  };
-
   static std::string make_folder() {
     std::string pattern = "/tmp/dispatcher-middle-XXXXXX";
     REQUIRE(mkdtemp(pattern.data()));
@@ -207,25 +196,11 @@
     settle();
   }
 
-  bool serve_peers() override {
-    bool active = false;
-    for (int fd; (fd = worker.accept()) >= 0; active = true)
-      worker_connections_.emplace_back().socket.fd = fd;
-    for (WorkerConnection& connection : worker_connections_) {
-      connection.parser.feed(connection.socket.receive());
-      while (auto message = connection.parser.next()) {
-        active = true;
-        worker_calls.push_back(message->method + " " + message->target);
-        connection.socket.send("HTTP/1.1 204 No Content\r\n\r\n");
-      }
-    }
-    return active;
-  }
+  bool serve_peers() override { return worker.serve(); }
 
   Json::Value config_ = example_config();
   std::string folder_;
   std::optional<hot_restart::HotRestart> hot_restart_;
-  std::list<WorkerConnection> worker_connections_;
   std::uint64_t last_number_ = 0;
 };
 
--- a/tests/loopback/middle_process_test.cpp
+++ b/tests/loopback/middle_process_test.cpp
@@ -64,7 +64,7 @@
     testing::PeerSocket connection(process.successor->take_descriptor().release());
     connection.send("answer of the successor");
     CHECK(process.clients.front().receive() == "answer of the successor");
-    CHECK(process.worker_calls.empty());  // the job is not cancelled
+    CHECK(process.worker.calls().empty());  // the job is not cancelled
     // An event that has crossed with the request comes again.
     CHECK(process.forward(*process.successor, process.job_event(kAdoptedText, "done")));
   }
@@ -133,7 +133,7 @@
   process.hand_over();
   process.clients.front().close();
   process.settle();
-  CHECK(process.worker_calls ==
+  CHECK(process.worker.calls() ==
         std::vector<std::string>{std::string("DELETE /jobs/") + kAdoptedText});
   CHECK(process.app->adopted_requests().size() == 0);
 }
--- a/tests/loopback/reload_limits_test.cpp
+++ b/tests/loopback/reload_limits_test.cpp
@@ -29,7 +29,7 @@
 class ReloadingProgram final : public testing::Loopback {
  public:
   explicit ReloadingProgram(const Classes& classes) : Loopback(16), config(example_config()) {
-    config["known"]["targets"][0]["endpoint"] = worker_.address;
+    config["known"]["targets"][0]["endpoint"] = worker.address();
     set_classes(classes);
     start(config);
   }
@@ -46,12 +46,7 @@
     config["settings"]["Lanes"] = lanes;
   }
   void reload() {
-    auto empty_environment = [](const char*) {
-      return std::string();
-    };
-    app->reload(program::read_config(config.toStyledString(), empty_environment,
-                                     transport::Duration(0), program::ReadMode::Reload,
-                                     app->current_file()));
+    Loopback::reload(config);
     settle();
   }
   void reload(const Classes& classes) {
@@ -88,39 +83,14 @@
     return answered_ms;
   }
 
-  // To the worker, idle ones included.
-  std::ptrdiff_t open_worker_connections() const {
-    return std::ranges::count(connections_, false, [](const WorkerConnection& connection) {
-      return connection.socket.closed_by_program;
-    });
-  }
-
   Json::Value config;
+  testing::UniformWorker worker{host, "202 Accepted"};
 
  private:
   static constexpr double kStepMs = 5;
 
-  struct WorkerConnection {
-    PeerSocket socket;
-    protocol::Parser parser{protocol::Parser::Kind::Request};
-  };
-
-  bool serve_peers() override {
-    bool active = false;
-    for (int fd; (fd = worker_.accept()) >= 0; active = true)
-      connections_.emplace_back().socket.fd = fd;
-    for (WorkerConnection& connection : connections_) {
-      connection.parser.feed(connection.socket.receive());
-      while (auto message = connection.parser.next()) {
-        active = true;
-        connection.socket.send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
-      }
-    }
-    return active;
-  }
+  bool serve_peers() override { return worker.serve(); }
 
-  testing::Listener worker_{host};
-  std::deque<WorkerConnection> connections_;
   std::deque<PeerSocket> clients_;
 };
 
@@ -197,11 +167,11 @@
   ReloadingProgram program(kBoth);
   program.send_request();
   program.advance(100);
-  CHECK(program.open_worker_connections() == 1);
+  CHECK(program.worker.open_connections() == 1);
   program.config["settings"]["Permissions"]["ConnIdleMs"] = 400;
   program.reload();
   program.advance(100);
-  CHECK(program.open_worker_connections() == 0);
+  CHECK(program.worker.open_connections() == 0);
 }
 
 // Guards against a limit of open requests that a reload leaves as it was: the same incident.
--- a/tests/loopback/watch_races_test.cpp
+++ b/tests/loopback/watch_races_test.cpp
@@ -59,11 +59,7 @@
 
   void reload() {
     config["discovery"] = other_discovery.address;
-    auto nothing = [](const char*) {
-      return std::string();
-    };
-    app->reload(program::read_config(config.toStyledString(), nothing, transport::Duration(0),
-                                     program::ReadMode::Reload, app->current_file()));
+    Loopback::reload(config);
   }
 
   bool serve_peers() override {
