Keep a cordon call of the other process for a worker that is not listed yet

Cause: SharedEvents applied a call that the other process had acknowledged like an operator's own, with CordonList::cordon(), which records nothing for an unlisted worker. On the related paths: a call at the incoming process was reapplied in the same way, and lost with a broken link; and calls had no time, so that one which crossed with a later one undid it.

Evidence: of three hypotheses (not sent, dropped on arrival, undone by the list) the new log line "cordon of UID at the other process" shows the second.

Change: CordonList::apply_acknowledged() records such calls, listed or not. Calls carry their time (new optional fields; the version before does without), and the later one holds at every process. Calls at the incoming process are sent again over a new link. An operator's call for an unknown worker is answered 404 as before.

--- a/src/hot_restart/hot_restart.cpp
+++ b/src/hot_restart/hot_restart.cpp
@@ -7,7 +7,7 @@
       context_(context),
       predecessor_(context.main_context, "outgoing process", options_.trace),
       successor_(context.main_context, "incoming process", options_.trace),
-      shared_events_(context.program, predecessor_, successor_, context.log),
+      shared_events_(context.program, predecessor_, successor_, context.clock, context.log),
       outgoing_(options_, context, successor_, shared_events_, [this] { listen_for_successor(); }),
       incoming_(options_, context, predecessor_, shared_events_,
                 {.on_serving = [this] { listen_for_successor(); },
--- a/src/hot_restart/incoming_process.cpp
+++ b/src/hot_restart/incoming_process.cpp
@@ -254,6 +254,7 @@
 void IncomingProcess::on_link_ended() {
   ready_pending_ = false;
   shared_events_.fail_forwarded_job_events();
+  shared_events_.mark_cordon_calls_unsent();
   if (!is_serving())
     return;
   lift_connection_limits();
--- a/src/hot_restart/protocol.cpp
+++ b/src/hot_restart/protocol.cpp
@@ -123,14 +123,21 @@
   return message;
 }
 
-Message make_cordon_call(const std::string& uid, bool cordoned) {
+Message make_cordon_call(const operations::CordonChange& change) {
   Message message;
   CordonCall& call = *message.mutable_cordon_call();
-  call.set_uid(uid);
-  call.set_cordoned(cordoned);
+  call.set_uid(change.worker);
+  call.set_cordoned(change.cordoned);
+  call.set_called_at(to_milliseconds(change.time));
   return message;
 }
 
+operations::CordonChange read_cordon_call(const CordonCall& message, scheduling::Time received) {
+  return {.worker = message.uid(),
+          .cordoned = message.cordoned(),
+          .time = message.has_called_at() ? from_milliseconds(message.called_at()) : received};
+}
+
 Message make_adopted_request(const AcceptedRequest& request,
                              http::ClientServer::ReleasedConnection& connection) {
   Message message;
@@ -182,6 +189,7 @@
     record.set_cordoned_at(to_milliseconds(cordon.cordon_time));
     if (cordon.uncordon_time)
       record.set_uncordoned_at(to_milliseconds(*cordon.uncordon_time));
+    record.set_latest_call_at(to_milliseconds(cordon.latest_call));
   }
 }
 
@@ -192,6 +200,9 @@
     cordon.cordon_time = from_milliseconds(record.cordoned_at());
     if (record.has_uncordoned_at())
       cordon.uncordon_time = from_milliseconds(record.uncordoned_at());
+    cordon.latest_call = record.has_latest_call_at()
+                             ? from_milliseconds(record.latest_call_at())
+                             : cordon.uncordon_time.value_or(cordon.cordon_time);
   }
   return cordons;
 }
--- a/src/hot_restart/protocol.h
+++ b/src/hot_restart/protocol.h
@@ -31,7 +31,9 @@
 Message make_request_accepted(scheduling::RequestId id);
 Message make_job_event_forward(std::uint64_t number, std::string_view body);
 Message make_job_event_receipt(std::uint64_t number, bool retry);
-Message make_cordon_call(const std::string& uid, bool cordoned);
+Message make_cordon_call(const operations::CordonChange& change);
+// `received`: time of the call if the message does not tell it.
+operations::CordonChange read_cordon_call(const CordonCall& message, scheduling::Time received);
 
 // An open request whose job workers have accepted, so that another process can answer it.
 struct AcceptedRequest {
--- a/src/hot_restart/serving_program.h
+++ b/src/hot_restart/serving_program.h
@@ -19,7 +19,7 @@
 
 class ServingProgram {
  public:
-  using OnCordonCall = std::function<void(const std::string& worker, bool cordoned)>;
+  using OnCordonCall = std::function<void(const operations::CordonChange&)>;
   using OnDrainTimeout = std::function<void()>;
 
   virtual ~ServingProgram() = default;
@@ -46,9 +46,9 @@
   virtual void set_serving(bool serving) = 0;
   // Applies an update that a change of the cordon list returned.
   virtual void apply_endpoint_update(const protocol::EndpointUpdate& update) = 0;
-  // Applies a call that an operator made to the other process. Returns false if the worker is
-  // unknown.
-  virtual bool apply_cordon(const std::string& worker, bool cordoned) = 0;
+  // Applies a call that a process of this dispatcher has acknowledged to an operator, whether or
+  // not the worker is listed here.
+  virtual void apply_acknowledged_cordon(const operations::CordonChange& change) = 0;
   virtual void limit_retry_budget(RetryBudgetLimit limit) = 0;
   // `callback` is called for each cordon or uncordon call of an operator to this process.
   virtual void on_cordon_call(OnCordonCall callback) = 0;
--- a/src/hot_restart/shared_events.cpp
+++ b/src/hot_restart/shared_events.cpp
@@ -14,29 +14,42 @@
 }  // namespace
 
 SharedEvents::SharedEvents(ServingProgram& program, ProcessLink& predecessor,
-                           ProcessLink& successor, operations::Log& log)
-    : program_(program), predecessor_(predecessor), successor_(successor), log_(log) {
+                           ProcessLink& successor, const transport::Clock& clock,
+                           operations::Log& log)
+    : program_(program),
+      predecessor_(predecessor),
+      successor_(successor),
+      clock_(clock),
+      log_(log) {
   program_.client_server().set_job_event_forwarder(
       [this](std::string_view body, std::function<void(bool)> notify) {
         return forward_job_event(body, nullptr, std::move(notify));
       });
   program_.on_cordon_call(
-      [this](const std::string& uid, bool cordoned) { on_cordon_call(uid, cordoned); });
+      [this](const operations::CordonChange& change) { on_cordon_call(change); });
   program_.router().on_request_accepted([this](scheduling::RequestId id) {
     if (predecessor_.shares_events() || successor_.shares_events())
       send_to_all(make_request_accepted(id));
   });
 }
 
-void SharedEvents::on_cordon_call(const std::string& uid, bool cordoned) {
+void SharedEvents::on_cordon_call(const operations::CordonChange& change) {
   if (recording_cordon_calls_)
-    recorded_cordon_calls_.push_back({uid, cordoned});
-  send_to_all(make_cordon_call(uid, cordoned));
+    recorded_cordon_calls_.push_back({change, predecessor_.shares_events()});
+  send_to_all(make_cordon_call(change));
 }
 
 void SharedEvents::reapply_cordon_calls() {
-  for (const RecordedCordonCall& call : recorded_cordon_calls_)
-    program_.apply_cordon(call.uid, call.cordoned);
+  for (RecordedCordonCall& call : recorded_cordon_calls_) {
+    program_.apply_acknowledged_cordon(call.change);
+    if (!std::exchange(call.sent, true))
+      send_shared(predecessor_, make_cordon_call(call.change));
+  }
+}
+
+void SharedEvents::mark_cordon_calls_unsent() {
+  for (RecordedCordonCall& call : recorded_cordon_calls_)
+    call.sent = false;
 }
 
 void SharedEvents::stop_recording_cordon_calls() {
@@ -64,8 +77,9 @@
     const JobEventReceipt& receipt = message.job_event_receipt();
     on_receipt(receipt.number(), !receipt.retry());
   } else if (message.has_cordon_call()) {
-    program_.apply_cordon(message.cordon_call().uid(), message.cordon_call().cordoned());
-    send_shared(other_than(sender), message);
+    operations::CordonChange change = read_cordon_call(message.cordon_call(), clock_.now());
+    program_.apply_acknowledged_cordon(change);
+    send_shared(other_than(sender), make_cordon_call(change));
   } else {
     on_job_event(sender, message.job_event_forward());
   }
--- a/src/hot_restart/shared_events.h
+++ b/src/hot_restart/shared_events.h
@@ -24,7 +24,7 @@
   // `predecessor` and `successor`: links to the process started before this one and to the one
   // started after it; they must outlive this object.
   SharedEvents(ServingProgram& program, ProcessLink& predecessor, ProcessLink& successor,
-               operations::Log& log);
+               const transport::Clock& clock, operations::Log& log);
 
   // Whether the message is one of those that either process may send.
   static bool is_shared(const Message& message);
@@ -37,8 +37,11 @@
   // process sends until the ownership transfer may not contain these calls yet, so they must be
   // reapplied afterwards.
   void start_recording_cordon_calls() { recording_cordon_calls_ = true; }
+  // Also sends the outgoing process the calls that were made while there was no link to it.
   void reapply_cordon_calls();
   void stop_recording_cordon_calls();
+  // The link to the outgoing process has ended: calls that were sent over it may be lost.
+  void mark_cordon_calls_unsent();
   // Call when the other process has ended. Makes workers resend the job events that were forwarded
   // and not acknowledged by a receipt.
   void fail_forwarded_job_events();
@@ -52,11 +55,11 @@
   };
 
   struct RecordedCordonCall {
-    std::string uid;
-    bool cordoned = false;
+    operations::CordonChange change;
+    bool sent = false;  // over the current link to the outgoing process
   };
 
-  void on_cordon_call(const std::string& uid, bool cordoned);
+  void on_cordon_call(const operations::CordonChange& change);
   // Sends the job event to the other processes, except to the one that it came from (null: from a
   // worker). Returns false if there is no process to send it to.
   bool forward_job_event(std::string_view body, const ProcessLink* sender, Notify notify);
@@ -71,6 +74,7 @@
   ServingProgram& program_;
   ProcessLink& predecessor_;
   ProcessLink& successor_;
+  const transport::Clock& clock_;
   operations::Log& log_;
   std::set<scheduling::RequestId> released_requests_;
   std::map<std::uint64_t, ForwardedJobEvent> forwarded_job_events_;
--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -246,19 +246,29 @@
   return fleet_socket_ ? fleet_socket_->view_json() : std::string();
 }
 
-bool App::apply_cordon(const std::string& worker, bool cordoned) {
-  auto update = cordoned ? cordon_list_.cordon(worker, clock_.now())
-                         : cordon_list_.uncordon(worker, clock_.now());
+void App::apply_acknowledged_cordon(const operations::CordonChange& change) {
+  std::size_t dropped_before = cordon_list_.dropped_cordons();
+  auto update = cordon_list_.apply_acknowledged(change);
+  std::string outcome = !cordon_list_.listed().contains(change.worker) ? "kept until it is listed"
+                        : update                                       ? "applied"
+                                 : "superseded by a later call";
+  log_.line("hot-restart", std::string(change.cordoned ? "cordon" : "uncordon") + " of " +
+                               change.worker + " at the other process: " + outcome);
+  if (cordon_list_.dropped_cordons() > dropped_before)
+    log_.line("hot-restart", "too many cordoned workers are not listed; the oldest was forgotten");
   if (update)
     apply_endpoint_update(*update);
-  return update.has_value();
 }
 
 bool App::set_cordoned(const std::string& worker, bool cordoned) {
-  bool known = apply_cordon(worker, cordoned);
-  if (known && on_cordon_call_)
-    on_cordon_call_(worker, cordoned);
-  return known;
+  transport::Time now = clock_.now();
+  auto update = cordoned ? cordon_list_.cordon(worker, now) : cordon_list_.uncordon(worker, now);
+  if (!update)
+    return false;
+  apply_endpoint_update(*update);
+  if (on_cordon_call_)
+    on_cordon_call_({.worker = worker, .cordoned = cordoned, .time = now});
+  return true;
 }
 
 bool App::cordon(const std::string& worker) {
--- a/src/program/app.h
+++ b/src/program/app.h
@@ -83,7 +83,7 @@
   }
   void set_serving(bool serving) override { serving_ = serving; }
   void apply_endpoint_update(const protocol::EndpointUpdate& update) override;
-  bool apply_cordon(const std::string& worker, bool cordoned) override;
+  void apply_acknowledged_cordon(const operations::CordonChange& change) override;
   void limit_retry_budget(hot_restart::RetryBudgetLimit limit) override;
   void on_cordon_call(OnCordonCall callback) override { on_cordon_call_ = std::move(callback); }
   void on_drain_timeout(OnDrainTimeout callback) override {
--- a/tests/hot_restart/link_order_test.cpp
+++ b/tests/hot_restart/link_order_test.cpp
@@ -209,6 +209,54 @@
   CHECK(next.cordons(0).uid() == "s-1");
 }
 
+// Guards against a cordon call to the incoming process that never reaches the outgoing one, since
+// the link broke: docs/incidents/cordon-of-an-unlisted-worker.md.
+TEST_CASE("a cordon call to the incoming process is sent again after the link has broken") {
+  IncomingProcessHarness harness;
+  harness.fleet.set_fault(DiscoveryFault{});
+  auto started =
+      std::async(std::launch::async, [&] { return harness.dispatcher.start_hot_restart(); });
+  std::optional<LinkPeer> first = harness.stub->accept();
+  harness.wait_until([&] {
+    return testbed::call_admin(harness.dispatcher.admin_address(), "POST", "/admin/cordon?id=s-1")
+               .status == 200;
+  });
+  first.reset();
+  LinkPeer peer = harness.stub->accept();
+  peer.send(harness.welcome(3), harness.listen_for_clients());
+  hot_restart::CordonCall call = peer.await(Message::kCordonCall).cordon_call();
+  CHECK(call.uid() == "s-1");
+  CHECK(call.cordoned());
+  harness.transfer_ownership(peer);
+  REQUIRE(started.get());
+  CHECK(harness.welcome_of_program().cordons_size() == 1);
+}
+
+// Guards against a cordon call to the incoming process that undoes a later uncordon call to the
+// outgoing one: the same incident.
+TEST_CASE("an uncordon call to the outgoing process holds against an earlier cordon call") {
+  IncomingProcessHarness harness;
+  harness.fleet.set_fault(DiscoveryFault{});
+  auto started =
+      std::async(std::launch::async, [&] { return harness.dispatcher.start_hot_restart(); });
+  LinkPeer peer = harness.stub->accept();
+  peer.send(harness.welcome(3), harness.listen_for_clients());
+  peer.await(Message::kReady);
+  CHECK(testbed::call_admin(harness.dispatcher.admin_address(), "POST", "/admin/cordon?id=s-1")
+            .status == 200);
+  double cordoned_at = peer.await(Message::kCordonCall).cordon_call().called_at();
+  Message transfer;
+  add_cordon(*transfer.mutable_ownership_transfer()->mutable_cordons(), "s-1");
+  hot_restart::CordonRecord& record = *transfer.mutable_ownership_transfer()->mutable_cordons(0);
+  record.set_cordoned_at(cordoned_at);
+  record.set_uncordoned_at(cordoned_at + 1);
+  peer.send(transfer);
+  REQUIRE(started.get());
+  hot_restart::Welcome next = harness.welcome_of_program();
+  REQUIRE(next.cordons_size() == 1);
+  CHECK(next.cordons(0).has_uncordoned_at());
+}
+
 // Guards against events that reach an incoming process before Welcome, and against a worker's call
 // that waits for a receipt from a process that does not serve yet.
 TEST_CASE(
--- a/tests/hot_restart/recorded_messages_test.cpp
+++ b/tests/hot_restart/recorded_messages_test.cpp
@@ -49,7 +49,8 @@
 constexpr std::string_view kRequestAccepted = "3a090901000f0000000000";
 constexpr std::string_view kJobEventForward = "420e08ac0212097b226964223a317d00";
 constexpr std::string_view kJobEventReceipt = "4a0508ac021001";
-constexpr std::string_view kCordonCall = "52070a03732d311001";
+constexpr std::string_view kCordonCall = "52070a03732d311001";  // without a time
+constexpr std::string_view kTimedCordonCall = "52100a03732d3110011900000000004a9340";
 constexpr std::string_view kAdoptedRequest =
     "5a36090100000000000080120b706c6163652d6f726465721a03732d311a03732d3221000000000c24fe402a07"
     "0a03474554100130013801";
@@ -132,6 +133,8 @@
   REQUIRE(cordons.at("s-1").uncordon_time);
   CHECK(to_milliseconds(*cordons.at("s-1").uncordon_time) == 750.75);
   CHECK_FALSE(cordons.at("s-2").uncordon_time);
+  CHECK(to_milliseconds(cordons.at("s-1").latest_call) == 750.75);
+  CHECK(to_milliseconds(cordons.at("s-2").latest_call) == 600);
 }
 
 TEST_CASE("a recorded Rejection is read and written unchanged") {
@@ -211,7 +214,16 @@
   REQUIRE(message.kind_case() == Message::kCordonCall);
   CHECK(message.cordon_call().uid() == "s-1");
   CHECK(message.cordon_call().cordoned());
-  check_written(make_cordon_call("s-1", true), kCordonCall);
+  dispatcher::scheduling::Time received = from_milliseconds(2000);
+  CHECK(read_cordon_call(message.cordon_call(), received).time == received);
+
+  Message timed = read_recorded(kTimedCordonCall);
+  REQUIRE(timed.kind_case() == Message::kCordonCall);
+  dispatcher::operations::CordonChange change = read_cordon_call(timed.cordon_call(), received);
+  CHECK(change.worker == "s-1");
+  CHECK(change.cordoned);
+  CHECK(change.time == from_milliseconds(1234.5));
+  check_written(make_cordon_call(change), kTimedCordonCall);
 }
 
 TEST_CASE("a recorded AdoptedRequest is read and written unchanged") {
--- a/tests/loopback/middle_process.h
+++ b/tests/loopback/middle_process.h
@@ -85,6 +85,20 @@
     config_["settings"]["Invariants"]["RampTimeMs"] = duration_ms;
     reload(config_);
   }
+  // A call of an operator at another process.
+  operations::CordonChange cordon_change(bool cordoned, const std::string& uid = kWorker) const {
+    return {.worker = uid, .cordoned = cordoned, .time = clock.at};
+  }
+  // Discovery lists one more worker.
+  void list_worker(const std::string& uid) {
+    protocol::EndpointUpdate list{app->cordon_list().revision() + 1, true, {}};
+    for (const auto& [listed_uid, listed] : app->cordon_list().listed())
+      list.entries.push_back(listed);
+    list.entries.push_back(list.entries.front());
+    list.entries.back().uid = uid;
+    app->inherit_endpoints(identifiers_offset(), list);
+    settle();
+  }
   void advance(double ms) {
     clock.at += transport::Duration(ms);
     settle();
@@ -147,6 +161,7 @@
   static constexpr double kDrainStepMs = 10;
   static constexpr int kMaxDrainSteps = 1000;
 
+  scheduling::Duration identifiers_offset() const { return app->identifiers().wall_to_steady; }
   static std::string make_folder() {
     std::string pattern = "/tmp/dispatcher-middle-XXXXXX";
     REQUIRE(mkdtemp(pattern.data()));
--- a/tests/loopback/middle_process_test.cpp
+++ b/tests/loopback/middle_process_test.cpp
@@ -157,7 +157,7 @@
     for (bool from_successor : {true, false}) {
       LinkPeer& sender = from_successor ? *process.successor : *process.predecessor;
       LinkPeer& receiver = from_successor ? *process.predecessor : *process.successor;
-      sender.send(hot_restart::make_cordon_call(MiddleProcess::kWorker, cordoned));
+      sender.send(hot_restart::make_cordon_call(process.cordon_change(cordoned)));
       Message call = process.take(receiver, Message::kCordonCall);
       CHECK(call.cordon_call().uid() == MiddleProcess::kWorker);
       CHECK(call.cordon_call().cordoned() == cordoned);
@@ -165,6 +165,37 @@
   }
 }
 
+// Guards against forgetting a call that another process has acknowledged, since the worker is not
+// listed here: docs/incidents/cordon-of-an-unlisted-worker.md.
+TEST_CASE("a cordon call for a worker that is not listed yet holds, and is passed on", "[middle]") {
+  constexpr const char* kUnlisted = "s-unlisted";
+  constexpr double kOverloadWindowMs = 2000;  // for which recently started workers are left out
+  for (bool from_successor : {true, false}) {
+    for (bool uncordoned : {true, false}) {
+      MiddleProcess process;
+      process.advance(kOverloadWindowMs);
+      auto call = [&](LinkPeer& sender, bool cordoned) {
+        process.advance(1);
+        sender.send(hot_restart::make_cordon_call(process.cordon_change(cordoned, kUnlisted)));
+        process.settle();
+      };
+      if (!from_successor)
+        call(*process.predecessor, true);
+      process.hand_over();
+      if (from_successor)
+        call(*process.successor, true);
+      CHECK(process.transfer.cordons_size() == (from_successor ? 0 : 1));
+      if (uncordoned)
+        call(from_successor ? *process.successor : *process.predecessor, false);
+      process.list_worker(kUnlisted);
+      const auto& cordons = process.app->cordon_list().cordons_by_uid();
+      REQUIRE(cordons.contains(kUnlisted));
+      CHECK(cordons.at(kUnlisted).uncordon_time.has_value() == uncordoned);
+      CHECK(process.app->router().avoids(kUnlisted));  // uncordoned: while it warms up
+    }
+  }
+}
+
 // Guards against settings of the start that a reload has replaced:
 // docs/incidents/dropped-class-at-shutdown.md.
 TEST_CASE("the transfer leaves out workers by the slow start in force", "[middle]") {
