Let the next process of a hot restart follow an accepted reload

Cause: at a start ROUTER_DISCOVERY goes before the file, at SIGHUP the file goes before it, and the handshake did not tell that a SIGHUP had been accepted. On the related paths: a SIGHUP during the handshake or after it was unknown to the new process, which kept the settings of before; and the watch was resumed at the new address from a revision of the old one.

Evidence: the "start:" line now names the address that is watched, which tells a wrong address from a wrong revision: it was the address.

Change: Welcome and OwnershipTransfer carry the number of accepted reloads; from the first on, a new process lets the file go first. One that learns of a reload after it has read the file reads it again (new message ReloadAccepted after the transfer).

The tests of hot restarts now set ROUTER_DISCOVERY, as deployments do.

--- a/src/hot_restart/incoming_process.cpp
+++ b/src/hot_restart/incoming_process.cpp
@@ -98,6 +98,8 @@
       return on_adopted_request(message->adopted_request(), std::move(descriptors));
     case Message::kReleasedConnection:
       return on_released_connection(message->released_connection(), std::move(descriptors));
+    case Message::kReloadAccepted:
+      return context_.program.follow_reloads(message->reload_accepted().reloads());
     default:
       return on_invalid_message();
   }
@@ -114,7 +116,9 @@
   listener_ = std::move(descriptors[0]);
   ServingProgram& program = context_.program;
   program.inherit_endpoints(Duration(welcome.wall_to_steady()),
-                            read_endpoints(welcome, program.identifiers()));
+                            read_endpoints(welcome, program.identifiers()),
+                            welcome.snapshot_needed());
+  program.follow_reloads(welcome.reloads());
   apply_cordons(welcome.cordons());
   carry_out(action);
 }
@@ -136,6 +140,7 @@
   context_.program.router().add_external_ids(
       {transfer.request_ids().begin(), transfer.request_ids().end()});
   apply_cordons(transfer.cordons());
+  context_.program.follow_reloads(transfer.reloads());
   limit_worker_load();
   std::size_t held_by_outgoing = transfer.accepted_connections();
   std::size_t max_accepted = options_.connection_limits.accepted;
--- a/src/hot_restart/outgoing_process.cpp
+++ b/src/hot_restart/outgoing_process.cpp
@@ -25,7 +25,13 @@
       successor_(successor),
       shared_events_(shared_events),
       on_reclaimed_(std::move(on_reclaimed)),
-      ownership_(options.identity) {}
+      ownership_(options.identity) {
+  // Before the transfer, which tells the number of reloads, the incoming process gets no events.
+  context_.program.on_reload_accepted([this] {
+    if (successor_.shares_events())
+      successor_.send(make_reload_accepted(context_.program.reloads()));
+  });
+}
 
 void OutgoingProcess::on_connected(transport::ObjectPtr<GSocket> socket) {
   if (!ownership_.can_accept_link())
@@ -75,9 +81,11 @@
 
 void OutgoingProcess::send_welcome() {
   ServingProgram& program = context_.program;
-  successor_.send(make_welcome(program.identifiers().wall_to_steady, program.cordon_list(),
-                               program.identifiers()),
-                  context_.network.listener());
+  Message message = make_welcome(program.identifiers().wall_to_steady, program.cordon_list(),
+                                 program.identifiers());
+  message.mutable_welcome()->set_reloads(program.reloads());
+  message.mutable_welcome()->set_snapshot_needed(program.needs_snapshot());
+  successor_.send(message, context_.network.listener());
   context_.log.line("hot-restart", "an incoming process has connected");
 }
 
@@ -109,6 +117,7 @@
   write_request_ids(transfer);
   transfer.set_accepted_connections(static_cast<std::uint32_t>(context_.network.accepted_count()));
   write_cordons(program.cordon_list(), *transfer.mutable_cordons());
+  transfer.set_reloads(program.reloads());
   std::vector<transport::Descriptor> descriptors;
   if (fleet::FleetSocket* fleet_socket = program.fleet_socket()) {
     fleet_socket->set_active(false);
--- a/src/hot_restart/protocol.cpp
+++ b/src/hot_restart/protocol.cpp
@@ -160,6 +160,12 @@
           .workers = {message.worker_uids().begin(), message.worker_uids().end()}};
 }
 
+Message make_reload_accepted(std::uint32_t reloads) {
+  Message message;
+  message.mutable_reload_accepted()->set_reloads(reloads);
+  return message;
+}
+
 Message make_welcome(scheduling::Duration wall_to_steady, const operations::CordonList& cordon_list,
                      const protocol::IdentifierTables& identifiers) {
   Message message;
--- a/src/hot_restart/protocol.h
+++ b/src/hot_restart/protocol.h
@@ -2,6 +2,7 @@
 // (proto/hot_restart.proto).
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -47,7 +48,9 @@
                              http::ClientServer::ReleasedConnection& connection);
 AcceptedRequest read_adopted_request(const AdoptedRequest& message);
 
-// With the endpoint list and the cordons of `cordon_list`.
+Message make_reload_accepted(std::uint32_t reloads);
+
+// With the endpoint list and the cordons of `cordon_list`; the fields for reloads stay empty.
 Message make_welcome(scheduling::Duration wall_to_steady, const operations::CordonList& cordon_list,
                      const protocol::IdentifierTables& identifiers);
 // Omits entries without uid or address. A zone or kind that `identifiers` lacks becomes -1.
--- a/src/hot_restart/serving_program.h
+++ b/src/hot_restart/serving_program.h
@@ -1,6 +1,7 @@
 // Interface through which a hot restart uses the rest of the program.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -34,14 +35,24 @@
   virtual const scheduling::Settings& settings() const = 0;
 
   // Takes over the clock offset of an outgoing process, and its endpoint list unless the list of
-  // this process is newer.
+  // this process is newer. `snapshot_needed`: the watch cannot be resumed from that list.
   virtual void inherit_endpoints(scheduling::Duration wall_to_steady,
-                                 const protocol::EndpointUpdate& list) = 0;
+                                 const protocol::EndpointUpdate& list, bool snapshot_needed) = 0;
+  // Whether the endpoint list may be outdated, so that the next poll requests a snapshot.
+  virtual bool needs_snapshot() const = 0;
   // Whether an endpoint list is known, so that requests can be dispatched.
   virtual bool can_serve() const = 0;
   // `callback` is called when can_serve() becomes true through a response of discovery.
   virtual void on_able_to_serve(std::function<void()> callback) = 0;
 
+  // Reloads that this process and those before it have accepted.
+  virtual std::uint32_t reloads() const = 0;
+  // The processes before this one have accepted that many reloads. Reads the configuration again if
+  // this process did not know of all of them.
+  virtual void follow_reloads(std::uint32_t reloads) = 0;
+  // `callback` is called after each accepted reload.
+  virtual void on_reload_accepted(std::function<void()> callback) = 0;
+
   // If false, another process still serves, and the health check of this one fails.
   virtual void set_serving(bool serving) = 0;
   // Applies an update that a change of the cordon list returned.
--- a/src/http/discovery_client.h
+++ b/src/http/discovery_client.h
@@ -27,6 +27,10 @@
   void trace(std::function<void(const std::string&)> sink) { trace_ = std::move(sink); }
   // Continues the watch from the revision of an endpoint list that came from elsewhere.
   void resume_from(std::int64_t revision) { revision_ = revision; }
+  // The next poll requests a snapshot.
+  void request_snapshot() { revision_.reset(); }
+  // Whether the next poll requests a snapshot.
+  bool needs_snapshot() const { return !revision_; }
   // Watches another address from now on.
   void change_address(const std::string& address);
 
--- a/src/program/app.cpp
+++ b/src/program/app.cpp
@@ -168,7 +168,7 @@
   protocol::EndpointUpdate endpoints =
       cordon_list_.apply(config_.cached_endpoints.value_or(protocol::EndpointUpdate{0, true, {}}));
   workers_.update(endpoints);
-  if (!endpoints.entries.empty())
+  if (!endpoints.entries.empty() && !config_.cached_endpoints_outdated)
     discovery_.resume_from(endpoints.revision);
   router_.start(entries_of(endpoints));
   workers_.recall_unsent_attempts();
@@ -181,7 +181,8 @@
     discovery_.watch();
   log_.line("start", config_.name + " listens on " + config_.listen +
                          "; cached endpoint list has " + std::to_string(endpoints.entries.size()) +
-                         " workers");
+                         " workers; discovery at " + config_.discovery +
+                         (config_.inherited_reloads > 0 ? ", as of the last reload" : ""));
 }
 
 void App::on_endpoint_update(EndpointUpdateKind kind, const protocol::EndpointUpdate& update) {
@@ -207,12 +208,17 @@
 
 // If this process's own list is newer, only its start times are converted to the new clock offset:
 // otherwise the scheduler would take every worker for restarted at the next update.
-void App::inherit_endpoints(Duration wall_to_steady, const protocol::EndpointUpdate& list) {
+void App::inherit_endpoints(Duration wall_to_steady, const protocol::EndpointUpdate& list,
+                            bool snapshot_needed) {
   Duration shift = wall_to_steady - config_.identifier_tables.wall_to_steady;
   config_.identifier_tables.wall_to_steady = wall_to_steady;
   bool is_newer = cordon_list_.listed().empty() || list.revision > cordon_list_.revision();
   if (is_newer && !list.entries.empty()) {
-    discovery_.resume_from(list.revision);
+    if (snapshot_needed) {
+      discovery_.request_snapshot();
+    } else {
+      discovery_.resume_from(list.revision);
+    }
     apply_endpoints(EndpointUpdateKind::Cached, list);
   } else if (shift.count() != 0 && !cordon_list_.listed().empty()) {
     apply_endpoints(EndpointUpdateKind::Cached, cordon_list_.with_shifted_start_times(shift));
@@ -281,7 +287,16 @@
 
 // ---- Reload ----
 
-void App::reload(Config next) {
+void App::follow_reloads(std::uint32_t reloads) {
+  if (reloads <= config_.inherited_reloads)
+    return;
+  config_.inherited_reloads = reloads;
+  log_.line("hot-restart", "the other process has reloaded its configuration: reading it again");
+  if (on_reload_needed_)
+    on_reload_needed_();
+}
+
+void App::reload(Config next, ReloadCause cause) {
   bool discovery_moved = next.discovery != config_.discovery;
   bool settings_changed = next.file["settings"] != config_.file["settings"];
   preserve_indexes(config_, next);
@@ -300,10 +315,13 @@
   // SIGKILL comes when the settings at SIGTERM say so: later ones can only shorten the time.
   if (terminated_at_)
     drain_timeout_ = std::min(drain_timeout_, drain_timeout(config_));
-  ++metrics_.cfg_accepted;
+  metrics_.cfg_accepted += cause == ReloadCause::Signal ? 1 : 0;
+  ++accepted_reloads_;
   config_.discovery = next.discovery;
   if (discovery_moved)
     discovery_.change_address(next.discovery);
+  if (on_reload_accepted_)
+    on_reload_accepted_();
 }
 
 void App::log_reload(const Config& next, bool settings_changed) const {
@@ -328,8 +346,8 @@
   router_.apply_settings(settings);
 }
 
-void App::reload_failed(const std::string& reason) {
-  ++metrics_.cfg_invalid;
+void App::reload_failed(const std::string& reason, ReloadCause cause) {
+  metrics_.cfg_invalid += cause == ReloadCause::Signal ? 1 : 0;
   log_.line("reload", "the old configuration is kept: " + reason);
 }
 
--- a/src/program/app.h
+++ b/src/program/app.h
@@ -43,13 +43,18 @@
   void attach_gossip(FleetSocket& fleet_socket);
   void start();
 
-  // SIGHUP. The new settings apply to future requests; open requests, the scheduler's learned state
-  // and the endpoint list are kept. Changed settings that need a restart are logged.
-  void reload(Config next);
+  // Why the configuration is read again. Only reloads by a signal are counted in the metrics.
+  enum class ReloadCause { Signal, OtherProcess };
+  // The new settings apply to future requests; open requests, the scheduler's learned state and the
+  // endpoint list are kept. Changed settings that need a restart are logged.
+  void reload(Config next, ReloadCause cause = ReloadCause::Signal);
   // The configuration file in use, which a reload is checked against.
   const Json::Value& current_file() const { return config_.file; }
-  // SIGHUP with an unusable file: keeps the configuration.
-  void reload_failed(const std::string& reason);
+  // A reload with an unusable file: keeps the configuration.
+  void reload_failed(const std::string& reason, ReloadCause cause = ReloadCause::Signal);
+  // `callback` reads the configuration and calls reload() or reload_failed(), with the cause
+  // OtherProcess.
+  void on_reload_needed(std::function<void()> callback) { on_reload_needed_ = std::move(callback); }
 
   // SIGTERM: starts the graceful shutdown.
   void terminate();
@@ -73,8 +78,14 @@
     return config_.identifier_tables;
   }
   const scheduling::Settings& settings() const override { return config_.settings; }
-  void inherit_endpoints(scheduling::Duration wall_to_steady,
-                         const protocol::EndpointUpdate& list) override;
+  void inherit_endpoints(scheduling::Duration wall_to_steady, const protocol::EndpointUpdate& list,
+                         bool snapshot_needed) override;
+  bool needs_snapshot() const override { return discovery_.needs_snapshot(); }
+  std::uint32_t reloads() const override { return config_.inherited_reloads + accepted_reloads_; }
+  void follow_reloads(std::uint32_t reloads) override;
+  void on_reload_accepted(std::function<void()> callback) override {
+    on_reload_accepted_ = std::move(callback);
+  }
   bool can_serve() const override {
     return client_server_.ready() || !cordon_list_.listed().empty();
   }
@@ -121,7 +132,10 @@
   std::optional<transport::Time> idle_since_;  // since when there has been no open work
   bool finished_ = false;
   bool serving_ = true;
+  std::uint32_t accepted_reloads_ = 0;  // whatever their cause
   std::function<void()> on_able_to_serve_;
+  std::function<void()> on_reload_needed_;
+  std::function<void()> on_reload_accepted_;
   OnCordonCall on_cordon_call_;
   OnDrainTimeout on_drain_timeout_;
   hot_restart::RetryBudgetLimit retry_budget_limit_ = hot_restart::RetryBudgetLimit::Unlimited;
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -207,7 +207,7 @@
 
 void read_addresses(const Json::Value& file, const EnvironmentLookup& environment, ReadMode mode,
                     Config& config) {
-  Precedence discovery = mode == ReadMode::Reload ? Precedence::File : Precedence::Environment;
+  Precedence discovery = mode == ReadMode::Start ? Precedence::Environment : Precedence::File;
   config.name = required_setting(file, "name", environment, "ROUTER_NAME");
   config.listen = required_setting(file, "listen", environment, "ROUTER_LISTEN");
   config.discovery =
--- a/src/program/config.h
+++ b/src/program/config.h
@@ -1,6 +1,7 @@
 // Reads and validates the configuration from the file named by ROUTER_CONFIG and the environment.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -23,9 +24,12 @@
   scheduling::Settings settings;
   protocol::IdentifierTables identifier_tables;
   std::optional<protocol::EndpointUpdate> cached_endpoints;  // wire: known
-  bool gossip_allowed = false;                               // with the other dispatchers
-  std::string peer_listen;         // UDP address; empty: no gossip with other dispatchers
-  std::vector<std::string> peers;  // addresses of all dispatchers, by index
+  // The cached list may be outdated: the watch starts with a snapshot.
+  bool cached_endpoints_outdated = false;
+  std::uint32_t inherited_reloads = 0;  // accepted by earlier processes of a hot restart
+  bool gossip_allowed = false;          // with the other dispatchers
+  std::string peer_listen;              // UDP address; empty: no gossip with other dispatchers
+  std::vector<std::string> peers;       // addresses of all dispatchers, by index
   // Name and value of the settings that need a restart: a reload that changes one logs its name.
   std::map<std::string, std::string> restart_only_settings;
   Json::Value file;  // as read, without `known` and `seed`; a reload must have the same keys
@@ -59,8 +63,9 @@
 using EnvironmentLookup = std::function<std::string(const char* variable)>;
 
 // At the start the environment overrides the file. At a reload the file's `discovery` overrides the
-// environment, which cannot have changed since the start.
-enum class ReadMode { Start, Reload };
+// environment, which cannot have changed since the start. So it does at the start of a process that
+// takes over from one which has accepted a reload, since that may have moved discovery.
+enum class ReadMode { Start, StartAfterReload, Reload };
 
 // Throws ConfigError. A reload is checked against `current_file`: it needs the same keys with
 // values of the same types, and usable settings, so that a partially written file is not mistaken
--- a/src/program/dispatcher_process.cpp
+++ b/src/program/dispatcher_process.cpp
@@ -70,7 +70,7 @@
     : features_(features),
       trace_enabled_(options.trace),
       wall_to_steady_(measure_wall_to_steady()),
-      config_(read_start_config()),
+      config_(read_start_config(ReadMode::Start)),
       loop_(deadlines_, clock_),
       log_(clock_, options.log_format, config_.name),
       local_socket_path_(local_socket_path(config_)),
@@ -86,8 +86,8 @@
     app_.enable_trace();
 }
 
-Config DispatcherProcess::read_start_config() const {
-  return read_config_file(environment("ROUTER_CONFIG"), environment, wall_to_steady_);
+Config DispatcherProcess::read_start_config(ReadMode mode) const {
+  return read_config_file(environment("ROUTER_CONFIG"), environment, wall_to_steady_, mode);
 }
 
 std::function<void(const std::string&)> DispatcherProcess::socket_error_logger() {
@@ -117,10 +117,13 @@
 std::optional<hot_restart::OutgoingProcessContact> DispatcherProcess::inherit_state() {
   auto contact = contact_outgoing_process();
   if (contact && contact->welcome) {
-    wall_to_steady_ = transport::Duration(contact->welcome->wall_to_steady());
-    config_ = read_start_config();
-    config_.cached_endpoints =
-        hot_restart::read_endpoints(*contact->welcome, config_.identifier_tables);
+    const hot_restart::Welcome& welcome = *contact->welcome;
+    wall_to_steady_ = transport::Duration(welcome.wall_to_steady());
+    config_ =
+        read_start_config(welcome.reloads() > 0 ? ReadMode::StartAfterReload : ReadMode::Start);
+    config_.inherited_reloads = welcome.reloads();
+    config_.cached_endpoints = hot_restart::read_endpoints(welcome, config_.identifier_tables);
+    config_.cached_endpoints_outdated = welcome.snapshot_needed();
   }
   return contact;
 }
@@ -143,8 +146,9 @@
     app_.terminate();
   };
   on_reload_ = [this] {
-    reload();
+    reload(App::ReloadCause::Signal);
   };
+  app_.on_reload_needed([this] { reload(App::ReloadCause::OtherProcess); });
   terminate_signal_ = on_signal(SIGTERM, on_terminate_, loop_.context());
   interrupt_signal_ = on_signal(SIGINT, on_terminate_, loop_.context());
   hangup_signal_ = on_signal(SIGHUP, on_reload_, loop_.context());
@@ -152,14 +156,15 @@
 }
 
 // A partially written or invalid file changes nothing.
-void DispatcherProcess::reload() {
+void DispatcherProcess::reload(App::ReloadCause cause) {
   reload_keys();
   try {
-    app_.reload(read_config_file(environment("ROUTER_CONFIG"), environment,
-                                 app_.identifiers().wall_to_steady, ReadMode::Reload,
-                                 app_.current_file()));
+    app_.reload(
+        read_config_file(environment("ROUTER_CONFIG"), environment,
+                         app_.identifiers().wall_to_steady, ReadMode::Reload, app_.current_file()),
+        cause);
   } catch (const std::exception& error) {
-    app_.reload_failed(error.what());
+    app_.reload_failed(error.what(), cause);
   }
 }
 
--- a/src/program/dispatcher_process.h
+++ b/src/program/dispatcher_process.h
@@ -33,13 +33,13 @@
  private:
   std::optional<hot_restart::OutgoingProcessContact> contact_outgoing_process();
   std::optional<hot_restart::OutgoingProcessContact> inherit_state();
-  Config read_start_config() const;
+  Config read_start_config(ReadMode mode) const;
   std::unique_ptr<transport::GioNetwork> make_admin_network();
   hot_restart::Options hot_restart_options();
   std::function<void(const std::string&)> socket_error_logger();
   std::function<void(const std::string&)> trace_writer();
   void handle_signals();
-  void reload();
+  void reload(App::ReloadCause cause);
   void reload_keys();
   void serve_admin();
   void serve_clients();
--- a/testbed/stubs/dispatcher_process.cpp
+++ b/testbed/stubs/dispatcher_process.cpp
@@ -137,6 +137,15 @@
   std::ofstream(folder_ + "/features.textproto") << setup_.features;
 }
 
+void DispatcherProcess::set_discovery(const std::string& discovery_address) const {
+  std::string path = folder_ + "/config.json";
+  Json::Value config;
+  std::ifstream(path) >> config;
+  config["discovery"] = discovery_address;
+  std::ofstream(path + ".new") << config;
+  std::filesystem::rename(path + ".new", path);
+}
+
 // Returns a port that was free when probed, on an address that other test processes do not use.
 std::string DispatcherProcess::free_address() const {
   int probe = socket(AF_INET, SOCK_STREAM, 0);
@@ -158,6 +167,8 @@
     if (!variable.starts_with("ROUTER_") && !variable.starts_with("TMPDIR="))
       variables.emplace_back(variable);
   }
+  if (!setup_.discovery_variable.empty())
+    variables.push_back("ROUTER_DISCOVERY=" + setup_.discovery_variable);
   if (setup_.admin_address) {
     variables.push_back("ROUTER_OPS=" + admin_address_);
     variables.push_back("TMPDIR=" + folder_ + "/tmp");
--- a/testbed/stubs/dispatcher_process.h
+++ b/testbed/stubs/dispatcher_process.h
@@ -21,9 +21,10 @@
     std::string features;  // protobuf text; empty: none
     std::string host;
     int max_sockets = 4096;
-    bool admin_address = false;      // gives it an admin address and a $TMPDIR of its own
-    std::string config_overrides{};  // JSON, merged into the configuration object by object
-    bool trace = false;              // traces each event, and logs in JSON lines
+    bool admin_address = false;        // gives it an admin address and a $TMPDIR of its own
+    std::string config_overrides{};    // JSON, merged into the configuration object by object
+    bool trace = false;                // traces each event, and logs in JSON lines
+    std::string discovery_variable{};  // ROUTER_DISCOVERY; empty: not set
   };
   DispatcherProcess(Setup setup, StubServices& services);
   DispatcherProcess(const DispatcherProcess&) = delete;
@@ -58,6 +59,8 @@
   ExitResult terminate_repeatedly(ProcessRole role, int times, std::chrono::milliseconds gap);
   // The same for a process that was sent SIGTERM at `terminated_ms` of the steady clock.
   ExitResult await_exit(ProcessRole role, double terminated_ms);
+  // Replaces the discovery address in the configuration file. It takes effect at a start or SIGHUP.
+  void set_discovery(const std::string& discovery_address) const;
   // Sets the binary for the next start.
   void set_program(const std::string& program) { setup_.program = program; }
   // Sends SIGKILL and waits for the end.
--- a/tests/hot_restart/hot_restart_test.cpp
+++ b/tests/hot_restart/hot_restart_test.cpp
@@ -457,6 +457,59 @@
     CHECK(count == 1);
 }
 
+// Guards against a process that watches the discovery address of the environment, although a reload
+// has moved discovery: docs/incidents/discovery-moved-before-hot-restart.md.
+TEST_CASE("discovery as of the last SIGHUP is watched after one, two and three hot restarts") {
+  enum class Reload { None, Moved, MovedBack };
+  for (Reload reload : {Reload::None, Reload::Moved, Reload::MovedBack}) {
+    ProcessHarness harness;
+    StubDiscovery second(process_loopback_address());
+    for (int i = 0; i < 3; ++i)
+      second.add_endpoint("s-" + std::to_string(i + 1), harness.fleet.worker_address(i));
+    int reloads = 0;
+    auto move_discovery = [&](const std::string& address) {
+      harness.dispatcher.set_discovery(address);
+      kill(harness.dispatcher.pid(), SIGHUP);
+      ++reloads;
+      harness.wait_until([&] {
+        return harness.stats(harness.dispatcher.admin_address())
+                   .metric("dispatcher.cfg_accepted") == reloads;
+      });
+    };
+    // Without SIGHUP the address in the file has no effect, as the environment goes first.
+    if (reload == Reload::None) {
+      harness.dispatcher.set_discovery(second.address());
+    } else {
+      move_discovery(second.address());
+    }
+    if (reload == Reload::MovedBack)
+      move_discovery(harness.fleet.discovery_address());
+    bool watches_second = reload == Reload::Moved;
+    for (int restarts = 1; restarts <= 3; ++restarts) {
+      INFO("reload " << static_cast<int>(reload) << ", restart " << restarts);
+      REQUIRE(harness.dispatcher.start_hot_restart());
+      CHECK(harness.dispatcher.terminate_outgoing() == 0);
+      long polls_of_first = harness.fleet.discovery_polls();
+      long polls_of_second = second.polls();
+      harness.wait_until([&] {
+        return harness.fleet.discovery_polls() > polls_of_first || second.polls() > polls_of_second;
+      });
+      CHECK((second.polls() > polls_of_second) == watches_second);
+    }
+    // A change there arrives.
+    if (watches_second) {
+      second.set_state("s-1", "draining");
+    } else {
+      harness.fleet.set_state(0, "draining");
+    }
+    harness.wait_until([&] {
+      return harness.stats(harness.dispatcher.admin_address())
+                 .metric("dispatcher.out_of_rotation") == 1;
+    });
+    second.stop();
+  }
+}
+
 TEST_CASE(
     "a cordoned worker stays cordoned across a hot restart, and calls apply to both processes") {
   ProcessHarness harness;
--- a/tests/hot_restart/link_order_test.cpp
+++ b/tests/hot_restart/link_order_test.cpp
@@ -82,6 +82,13 @@
   record.set_cordoned_at(1);
 }
 
+std::size_t count(const std::string& text, const std::string& part) {
+  std::size_t found = 0;
+  for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+    ++found;
+  return found;
+}
+
 std::string job_event(const std::string& id) {
   return R"({"id":")" + id + R"(","from":"s-1","state":"done","result":""})";
 }
@@ -160,6 +167,68 @@
   harness.check_program_serves();
 }
 
+// Guards against settings and an address of discovery that only the outgoing process has read:
+// docs/incidents/discovery-moved-before-hot-restart.md.
+TEST_CASE("an incoming process follows the reloads of the outgoing process") {
+  enum class Told { InWelcome, InLateWelcome, InTransfer, AfterTransfer };
+  for (Told told : {Told::InWelcome, Told::InLateWelcome, Told::InTransfer, Told::AfterTransfer}) {
+    INFO("told " << static_cast<int>(told));
+    IncomingProcessHarness harness;
+    testbed::StubDiscovery moved(testbed::process_loopback_address());
+    moved.add_endpoint("s-1", harness.fleet.worker_address(0));
+    if (told == Told::InWelcome)
+      harness.dispatcher.set_discovery(moved.address());
+    auto started =
+        std::async(std::launch::async, [&] { return harness.dispatcher.start_hot_restart(); });
+    LinkPeer peer = harness.stub->accept();
+    if (told == Told::InLateWelcome)
+      harness.wait_until([&] { return harness.log_contains("cached endpoint list has 0"); });
+    Message welcome = harness.welcome(3);
+    if (told <= Told::InLateWelcome) {
+      harness.dispatcher.set_discovery(moved.address());
+      welcome.mutable_welcome()->set_reloads(1);
+    }
+    peer.send(welcome, harness.listen_for_clients());
+    peer.await(Message::kReady);
+    if (told <= Told::InLateWelcome) {
+      harness.wait_until([&] { return moved.polls() > 0; });
+    } else {
+      CHECK(moved.polls() == 0);
+    }
+    harness.dispatcher.set_discovery(moved.address());
+    Message transfer;
+    transfer.mutable_ownership_transfer()->set_reloads(told <= Told::InTransfer ? 1 : 0);
+    peer.send(transfer);
+    REQUIRE(started.get());
+    if (told == Told::AfterTransfer)
+      peer.send(hot_restart::make_reload_accepted(1));
+    harness.wait_until([&] { return moved.polls() > 0; });
+    hot_restart::Welcome next = harness.welcome_of_program();
+    CHECK(next.reloads() >= 1);
+    CHECK(harness.stats(harness.dispatcher.admin_address()).metric("dispatcher.cfg_accepted") == 0);
+    moved.stop();
+  }
+}
+
+// Guards against resuming the watch from a revision of another discovery: the same incident.
+TEST_CASE("a list that may be outdated is replaced by a snapshot") {
+  for (bool snapshot_needed : {false, true}) {
+    IncomingProcessHarness harness;
+    harness.fleet.set_fault(DiscoveryFault{});
+    auto started =
+        std::async(std::launch::async, [&] { return harness.dispatcher.start_hot_restart(); });
+    LinkPeer peer = harness.stub->accept();
+    Message welcome = harness.welcome(2);  // at revision 1, as the list of discovery, which has 3
+    welcome.mutable_welcome()->set_snapshot_needed(snapshot_needed);
+    peer.send(welcome, harness.listen_for_clients());
+    harness.transfer_ownership(peer);
+    REQUIRE(started.get());
+    // The process that crashed before has requested a snapshot too.
+    harness.wait_until([&] { return count(harness.dispatcher.log(), "list 3 1") >= 2; });
+    CHECK(count(harness.dispatcher.log(), "poll snapshot") == (snapshot_needed ? 2 : 1));
+  }
+}
+
 // Guards against losing an operator's cordon or uncordon call to the incoming process: the outgoing
 // process may send its own cordons before it learns of the call.
 TEST_CASE("a cordon call to the incoming process persists when it crosses with the transfer") {
--- a/tests/hot_restart/process_scene.h
+++ b/tests/hot_restart/process_scene.h
@@ -26,6 +26,7 @@
 
 struct ProcessHarness {
   // `config_overrides`: JSON, merged into the example configuration.
+  // ROUTER_DISCOVERY names the discovery of `fleet`, as in a deployment.
   explicit ProcessHarness(std::string config_overrides = "")
       : dispatcher({.program = environment_variable("DISPATCHER"),
                     .config = environment_variable("DISPATCHER_CONFIG"),
@@ -34,7 +35,8 @@
                     .max_sockets = 1024,
                     .admin_address = true,
                     .config_overrides = std::move(config_overrides),
-                    .trace = true},
+                    .trace = true,
+                    .discovery_variable = fleet.discovery_address()},
                    fleet) {}
 
   testbed::StubServices fleet{testbed::process_loopback_address(), 3};
--- a/tests/loopback/inherited_endpoints_test.cpp
+++ b/tests/loopback/inherited_endpoints_test.cpp
@@ -40,7 +40,7 @@
   std::string uid = program.first_listed_worker();
   REQUIRE(program.start_time(uid) == transport::Time(transport::Duration(kStartedMs)));
   program.app->inherit_endpoints(transport::Duration(kOffsetMs),
-                                 program.inherited_list(kOwnRevision - 1));
+                                 program.inherited_list(kOwnRevision - 1), false);
   CHECK(program.app->cordon_list().listed().count("inherited") == 0);
   CHECK(program.app->cordon_list().revision() == kOwnRevision);
   CHECK(program.start_time(uid) == transport::Time(transport::Duration(kStartedMs + kOffsetMs)));
@@ -50,8 +50,20 @@
 TEST_CASE("an inherited list that is newer than the own list replaces it", "[inherit]") {
   RunningProgram program;
   program.app->inherit_endpoints(transport::Duration(kOffsetMs),
-                                 program.inherited_list(kOwnRevision + 1));
+                                 program.inherited_list(kOwnRevision + 1), false);
   CHECK(program.app->cordon_list().listed().size() == 1);
   CHECK(program.app->cordon_list().listed().count("inherited") == 1);
   CHECK(program.app->cordon_list().revision() == kOwnRevision + 1);
 }
+
+// Guards against resuming the watch from a revision of an earlier discovery:
+// docs/incidents/discovery-moved-before-hot-restart.md.
+TEST_CASE("the watch resumes from an inherited list unless that needs a snapshot", "[inherit]") {
+  for (bool snapshot_needed : {false, true}) {
+    RunningProgram program;
+    program.app->inherit_endpoints(transport::Duration(0), program.inherited_list(kOwnRevision + 1),
+                                   snapshot_needed);
+    CHECK(program.app->needs_snapshot() == snapshot_needed);
+    CHECK(program.app->cordon_list().listed().count("inherited") == 1);
+  }
+}
--- a/tests/loopback/middle_process.h
+++ b/tests/loopback/middle_process.h
@@ -96,7 +96,7 @@
       list.entries.push_back(listed);
     list.entries.push_back(list.entries.front());
     list.entries.back().uid = uid;
-    app->inherit_endpoints(identifiers_offset(), list);
+    app->inherit_endpoints(identifiers_offset(), list, false);
     settle();
   }
   void advance(double ms) {
