Add a rig for hostile clients, and a test of floods on one connection

Operators of other deployments report processes over their memory limit, late answers to others and requests that run after their client has left. `dispatcher-testbed hostile memory|flood|abandonment` measures each pattern at a process of its own; it has no mend with it.

--- a/testbed/main.cpp
+++ b/testbed/main.cpp
@@ -1,10 +1,14 @@
 // dispatcher-testbed: runs scenarios on dispatcher processes and evaluates them from outside.
 #include <CLI/CLI.hpp>
+#include <chrono>
 #include <cstdio>
 #include <exception>
 #include <stdexcept>
 #include <string>
 
+#include "testbed/hostile/abandonment_rig.h"
+#include "testbed/hostile/flood_rig.h"
+#include "testbed/hostile/memory_rig.h"
 #include "testbed/program/log_search.h"
 #include "testbed/program/scenario_file.h"
 #include "testbed/program/scenario_run.h"
@@ -60,6 +64,38 @@
   return command;
 }
 
+struct HostileOptions {
+  HostileSetup setup{.program = "build/dispatcher", .config = "examples/config.json"};
+  std::string rig;
+  int flood_seconds = 5;
+};
+
+CLI::App* add_hostile_command(CLI::App& app, HostileOptions& options) {
+  CLI::App* command = app.add_subcommand(
+      "hostile", "measure the effect of misbehaving clients; exit 1 if a rule was violated");
+  command->add_option("rig", options.rig, "memory, flood or abandonment")
+      ->required()
+      ->check(CLI::IsMember({"memory", "flood", "abandonment"}));
+  command->add_option("--seconds", options.flood_seconds, "of each flood; default: 5");
+  command->add_option("--memory-mb", options.setup.memory_mb, "limits.memory_mb; default: 192");
+  command->add_option("--sockets", options.setup.max_sockets, "limits.sockets; default: 1024");
+  command->add_option("--program", options.setup.program,
+                      "dispatcher binary; default: build/dispatcher");
+  command->add_option("--config", options.setup.config,
+                      "configuration file; default: examples/config.json");
+  return command;
+}
+
+// Returns whether no rule was violated.
+bool run_hostile(const HostileOptions& options) {
+  if (options.rig == "memory")
+    return print_results(measure_memory(options.setup));
+  if (options.rig == "flood")
+    return print_results(
+        measure_floods(options.setup, std::chrono::seconds(options.flood_seconds)));
+  return print_results(measure_abandonment(options.setup));
+}
+
 void print_totals(const LedgerTotals& totals) {
   std::printf(
       "          %llu requests: %llu served, %llu rejected, %llu failed, %llu disconnected, %llu "
@@ -159,9 +195,13 @@
   add_run_command(app, run_options);
   SoakOptions soak_options;
   CLI::App* soak = add_soak_command(app, soak_options);
+  HostileOptions hostile_options;
+  CLI::App* hostile = add_hostile_command(app, hostile_options);
   CLI11_PARSE(app, argc, argv);
   if (follow->parsed())
     return print_log_lines(follow_options.folder, follow_options.id) > 0 ? 0 : 1;
+  if (hostile->parsed())
+    return run_hostile(hostile_options) ? 0 : 1;
   if (soak->parsed())
     return run_soak(soak_options) ? 0 : 1;
   return run_scenario(run_options) ? 0 : 1;
