Limit the number of fields in a head, which took the process over its memory limit

What callers saw: with 1,024 clients that sent heads of some 4,000 very short fields and held back the body, the process peaked at 197.9 MB of 192 (35.3 of 32), with half of the body at 271.8 (43.3). A platform ends a process that is over its limit, and all clients with it.

Cause: connections are counted at 256 KB each, but the parser bounded the bytes of a head only. A field of four bytes on the wire takes 64 once it is parsed, and half as much again while the vector grows.

Evidence: of the rig's nine patterns (buffer, body, parsed head, unread answers, open requests) only the two with complete heads of short fields were over the limit, at both sizes.

Change: a head with more than 128 fields is answered 431 and its connection is closed.

--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -240,6 +240,8 @@
   std::size_t colon = line.find(':');
   if (colon == std::string_view::npos || !is_token(line.substr(0, colon)) || !is_text(line))
     throw HttpError(400, "malformed header");
+  if (message_.headers.size() >= kMaxHeaderFields)
+    throw HttpError(431, "too many header fields");
   message_.headers.emplace_back(line.substr(0, colon), trim(line.substr(colon + 1)));
 }
 
--- a/src/protocol/http.h
+++ b/src/protocol/http.h
@@ -16,6 +16,8 @@
 
 constexpr std::size_t kMaxBodyBytes = 64 << 10;  // for a message that is not streamed
 constexpr std::size_t kMaxHeadBytes = 16 << 10;
+// A parsed field takes 64 bytes and more, whatever its length on the wire.
+constexpr std::size_t kMaxHeaderFields = 128;
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
--- a/testbed/main.cpp
+++ b/testbed/main.cpp
@@ -90,9 +90,10 @@
 bool run_hostile(const HostileOptions& options) {
   if (options.rig == "memory")
     return print_results(measure_memory(options.setup));
-  if (options.rig == "flood")
+  if (options.rig == "flood") {
     return print_results(
         measure_floods(options.setup, std::chrono::seconds(options.flood_seconds)));
+  }
   return print_results(measure_abandonment(options.setup));
 }
 
