Remember the ids of requests that began apart from those of rejected ones

Cause: the request table remembered the last 4,096 ended requests of any kind. Workers bound the rate of requests that run; rejected ones come at 57,000 a second on one connection.

Evidence: only the repeats with many requests in between ran twice, however the client had left.

Change: ids of requests that a worker may have begun, and of those that none has begun, are remembered separately, 4,096 of each. Only the former are handed to the next process.

--- a/src/routing/request_table.cpp
+++ b/src/routing/request_table.cpp
@@ -27,6 +27,11 @@
   return payload && payload->upload && !payload->upload->replayable();
 }
 
+bool OpenRequest::may_have_begun() const {
+  return std::ranges::any_of(
+      attempts, [](const Attempt& attempt) { return attempt.may_have_run || attempt.may_report; });
+}
+
 bool OpenRequest::has_unfinished_upload() const {
   return payload && payload->upload && !payload->upload->taken_all();
 }
@@ -51,14 +56,19 @@
 }
 
 void RequestTable::remove(RequestRef ref) {
-  ended_ids_.push_back(slots_.find(ref)->id);
-  if (ended_ids_.size() > kMaxEndedIds) {
-    by_id_.erase(ended_ids_.front());
-    ended_ids_.pop_front();
-  }
+  const OpenRequest& request = *slots_.find(ref);
+  remember_ended(request.may_have_begun() ? begun_ids_ : not_begun_ids_, request.id);
   slots_.erase(ref);
 }
 
+void RequestTable::remember_ended(EndedIds& ended, scheduling::RequestId id) {
+  ended.push_back(id);
+  if (ended.size() <= kMaxEndedIds)
+    return;
+  by_id_.erase(ended.front());
+  ended.pop_front();
+}
+
 void RequestTable::mark_answered(OpenRequest& request) {
   request.answered = true;
   --unanswered_count_;
@@ -70,7 +80,7 @@
 std::vector<scheduling::RequestId> RequestTable::known_ids() const {
   const std::deque<scheduling::RequestId>& external = external_ids_.oldest_first();
   std::vector<scheduling::RequestId> ids(external.begin(), external.end());
-  ids.insert(ids.end(), ended_ids_.begin(), ended_ids_.end());
+  ids.insert(ids.end(), begun_ids_.begin(), begun_ids_.end());
   for (RequestRef ref : slots_.refs())
     ids.push_back(slots_.find(ref)->id);
   return ids;
--- a/src/routing/request_table.h
+++ b/src/routing/request_table.h
@@ -47,6 +47,8 @@
   bool has_earlier_attempt_that_may_report(int attempt) const;
   // Part of the upload has been sent and is no longer buffered, so no further attempt is possible.
   bool cannot_be_resent() const;
+  // Whether a worker may have begun the request. False if every attempt is known not to have run.
+  bool may_have_begun() const;
   // The upload is streamed and its end has not been forwarded yet.
   bool has_unfinished_upload() const;
 };
@@ -69,15 +71,16 @@
   const OpenRequest* find(RequestRef ref) const { return slots_.find(ref); }
   // Returns nullopt if the request is unknown or has been removed.
   std::optional<RequestRef> find_id(scheduling::RequestId id) const;
-  // Frees the slot. The id stays known until kMaxEndedIds more requests have been removed.
+  // Frees the slot. The id stays known until kMaxEndedIds more requests have been removed: requests
+  // that workers may have begun, or else those that none has begun.
   void remove(RequestRef ref);
   // Call once when an open request is answered.
   void mark_answered(OpenRequest& request);
 
   // Whether the request is open here or ended here recently.
   bool knows(scheduling::RequestId id) const { return by_id_.contains(id); }
-  // All ids that is_duplicate() knows: the external ones, those of ended and those of open
-  // requests, each oldest first.
+  // The ids that another process must reject: the external ones, those of ended requests that
+  // workers may have begun, and those of open requests, each oldest first.
   std::vector<scheduling::RequestId> known_ids() const;
   // Requests that are open at another process of a hot restart, or ended there recently.
   void add_external_ids(const std::vector<scheduling::RequestId>& ids);
@@ -93,18 +96,24 @@
 
  private:
   // Request ids are unique, and a request that is repeated shortly after its end must not run
-  // again. This many ids take 256 KB and cover more than a minute of requests.
+  // again. This many ids take 256 KB and cover more than a minute of requests. Requests that no
+  // worker has begun are counted separately: they can be rejected at any rate and would displace
+  // the others.
   static constexpr std::size_t kMaxEndedIds = 4096;
   // The ids of one process, of the requests that it accepts while it ends, and of the process
   // before.
   static constexpr std::size_t kMaxExternalIds = 2 * kMaxEndedIds;
   static constexpr std::size_t kSlotsPerRequest = 2;
 
+  using EndedIds = std::deque<scheduling::RequestId>;  // oldest first
+  void remember_ended(EndedIds& ended, scheduling::RequestId id);
+
   std::size_t max_requests_;
   mutable transport::SlotTable<OpenRequest> slots_;  // mutable: SlotTable::find() is not const
   std::unordered_map<scheduling::RequestId, RequestRef> by_id_;
   RecentIds external_ids_{kMaxExternalIds};
-  std::deque<scheduling::RequestId> ended_ids_;  // oldest first
+  EndedIds begun_ids_;  // a worker may have begun them
+  EndedIds not_begun_ids_;
   std::size_t unanswered_count_ = 0;
 };
 
