--- a/src/program/app.h
+++ b/src/program/app.h
@@ -1,5 +1,7 @@
 // Connects the layers of the dispatcher. The network and the clock are passed in, so that tests can
 // replace them.
+//
+// The calls of operators are in app_admin.cpp, the rest of the class is in app.cpp.
 #pragma once
 
 #include "features/features.h"
--- a/testbed/hostile/abandonment_rig.cpp
+++ b/testbed/hostile/abandonment_rig.cpp
@@ -46,12 +46,6 @@
   return "";
 }
 
-std::string id_text(std::uint64_t number) {
-  std::array<char, 17> id{};
-  std::snprintf(id.data(), id.size(), "%016llx", static_cast<unsigned long long>(number));
-  return id.data();
-}
-
 ClientRequest make_request(std::uint64_t id, const std::string& query) {
   ClientRequest request;
   request.id = id;
--- a/testbed/hostile/flood_rig.cpp
+++ b/testbed/hostile/flood_rig.cpp
@@ -40,10 +40,8 @@
 };
 
 std::string job_event(std::uint64_t number) {
-  std::array<char, 17> id{};
-  std::snprintf(id.data(), id.size(), "%016llx", static_cast<unsigned long long>(number));
   std::string body =
-      std::string(R"({"id":")") + id.data() + R"(","from":"s-1","state":"done","result":""})";
+      std::string(R"({"id":")") + id_text(number) + R"(","from":"s-1","state":"done","result":""})";
   return "POST /_jobs/news HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) +
          "\r\n\r\n" + body;
 }
@@ -51,10 +49,9 @@
 std::string request_of(std::uint64_t number, const std::string& job_class,
                        const std::string& tenant, const std::string& key,
                        int time_left_ms = kTimeLeftMs) {
-  std::array<char, 17> id{};
-  std::snprintf(id.data(), id.size(), "%016llx", static_cast<unsigned long long>(number));
   std::string text = std::string("POST /api?news=1&work=1 HTTP/1.1\r\nX-Correlation-Id: ") +
-                     id.data() + "\r\nX-Service-Class: " + job_class + "\r\nX-Account: " + tenant +
+                     id_text(number) + "\r\nX-Service-Class: " + job_class +
+                     "\r\nX-Account: " + tenant +
                      "\r\nX-Time-Left-Ms: " + std::to_string(time_left_ms) + "\r\n";
   if (!key.empty())
     text += "Idempotency-Key: " + key + "\r\n";
--- a/testbed/soak/request_ledger.cpp
+++ b/testbed/soak/request_ledger.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <cstdio>
 
+#include "testbed/stubs/stub_client.h"
+
 namespace dispatcher::testbed {
 namespace {
 
@@ -20,12 +22,6 @@
 constexpr int kFirstServerError = 500;
 constexpr int kServiceUnavailable = 503;
 
-std::string id_text(std::uint64_t id) {
-  std::array<char, 17> text{};
-  std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(id));
-  return text.data();
-}
-
 bool is_rejection(int status) {
   return status == kTooManyRequests || status == kServiceUnavailable;
 }
--- a/testbed/stubs/stub_client.cpp
+++ b/testbed/stubs/stub_client.cpp
@@ -78,16 +78,22 @@
 
 }  // namespace
 
+std::string id_text(std::uint64_t id) {
+  constexpr std::size_t kDigitsAndEnd = 17;
+  std::array<char, kDigitsAndEnd> text{};
+  std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(id));
+  return text.data();
+}
+
 std::string request_head(const ClientRequest& request) {
-  std::array<char, 17> id{};
-  std::snprintf(id.data(), id.size(), "%016llx", static_cast<unsigned long long>(request.id));
+  std::string id = id_text(request.id);
   std::string head =
-      "POST /api?" + request.query + " HTTP/1.1\r\nHost: lab\r\nX-Correlation-Id: " + id.data() +
+      "POST /api?" + request.query + " HTTP/1.1\r\nHost: lab\r\nX-Correlation-Id: " + id +
       "\r\nX-Service-Class: " + request.job_class +
       "\r\nX-Account: lanting-bento\r\nX-Time-Left-Ms: " + std::to_string(request.time_left_ms) +
       "\r\n" + request.extra_headers;
   if (request.job_class != "place-order")
-    head += std::string("Idempotency-Key: k") + id.data() + "\r\n";
+    head += std::string("Idempotency-Key: k") + id + "\r\n";
   head += request.chunked ? "Transfer-Encoding: chunked\r\n\r\n"
                           : "Content-Length: " + std::to_string(request.upload_bytes) + "\r\n\r\n";
   return head;
--- a/testbed/stubs/stub_client.h
+++ b/testbed/stubs/stub_client.h
@@ -37,6 +37,9 @@
   double head_ms = 0;               // from the start of the exchange to the end of the head
 };
 
+// A request id as it is sent: 16 hexadecimal digits.
+std::string id_text(std::uint64_t id);
+
 // The request line and the headers.
 std::string request_head(const ClientRequest& request);
 
