Count the messages of a connection over the whole turn, rejected requests included

Cause: process_messages() leaves the rest to a later turn after four messages, but counted its own iterations only. A request that is answered at its admission leads through respond_to_request() to a nested call, which counted anew: up to 64 KB of requests were handled in one turn of the loop, and an ordinary request takes several turns.

Change: the session counts its messages until it is resumed in a later turn, and a nested call does not go on meanwhile.

--- a/src/http/client_server.cpp
+++ b/src/http/client_server.cpp
@@ -61,6 +61,7 @@
   if (session->transfer && session->transfer->upload && !session->transfer->upload_reader.done())
     return on_upload_bytes(connection, *session, bytes);
   feed_parser(*session, bytes);
+  session->messages_this_turn = 0;
   // Bounds the memory for requests that the client pipelines behind its open one.
   if (session->is_busy() && session->parser.buffered() > protocol::kMaxHeadBytes)
     pause_reading(connection, *session, true);
@@ -83,13 +84,14 @@
 }
 
 // Handles a few messages and leaves the rest to a later loop turn, so that one connection with
-// hundreds of pipelined requests does not delay the others.
+// hundreds of pipelined requests does not delay the others. A request that is answered at its
+// admission leads here again, so the session counts the messages.
 void ClientServer::process_messages(SlotRef connection) {
-  for (int handled = 0;; ++handled) {
+  for (;;) {
     Session* session = find(connection);
-    if (!session || session->is_busy() || try_hand_over(connection))
+    if (!session || session->is_busy() || session->resume.is_set() || try_hand_over(connection))
       return;
-    if (handled == kMaxMessagesPerTurn && !session->parser.idle()) {
+    if (session->messages_this_turn >= kMaxMessagesPerTurn && !session->parser.idle()) {
       pause_reading(connection, *session, true);
       return schedule_resume(connection, *session);
     }
@@ -101,6 +103,7 @@
     }
     if (!message)
       return wait_for_more(connection, *session);
+    ++session->messages_this_turn;
     platform_.deadlines.disarm(session->request_deadline);
     unmark_idle(*session);
     session->keep_alive = message->keep_alive;
@@ -127,6 +130,7 @@
     if (!resumed)
       return;
     resumed->resume = {};
+    resumed->messages_this_turn = 0;
     process_messages(connection);
   });
 }
--- a/src/http/client_server.h
+++ b/src/http/client_server.h
@@ -124,6 +124,7 @@
     bool awaits_other_process = false;     // after a forwarded job event, or for an adopted request
     std::function<void()> on_client_left;  // of an adopted request
     ArrivalLog arrivals;
+    int messages_this_turn = 0;  // handled since input arrived or the session was resumed
     bool reading_paused = false;
     std::optional<transport::Time> paused_since;  // unread bytes may have arrived since then
     std::uint64_t sequence = 0;                   // key in without_request_ or idle_; 0: in neither
